--- /dev/null
+++ b/include/figcleat/settings/daemon-settings.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "figcleat/core/clock.h"
+#include "figcleat/core/digest.h"
+#include "figcleat/core/ids.h"
+#include "figcleat/settings/problem.h"
+#include "figcleat/target/messages.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figcleat
+{
+
+/** IP address and port of a listener. */
+struct socket_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    bool operator==(const socket_address &) const = default;
+};
+
+struct mailbox_settings
+{
+    socket_address address;
+    /** Mailboxes of the entries this process exchanges state with (an entry) or announces to (a target). */
+    std::vector<peer_address> peers;
+};
+
+struct entry_settings
+{
+    socket_address callerAddress;
+    socket_address operatorAddress;
+    /** SHA-256 of the operators' credential. */
+    digest operatorCredential;
+    std::uint32_t maxRequestsInProgress = 4096;
+    /** Above the longest request deadline, so that a planned stop cuts off nothing. */
+    duration drainDeadline = std::chrono::seconds(330);
+};
+
+/** Settings of an entry that is a voter besides. */
+struct control_settings
+{
+    std::string dataFolder;
+    /** Mailboxes of all voters of the first configuration, this one among them. */
+    std::vector<peer_address> voters;
+};
+
+struct target_settings
+{
+    target_id name;
+    service_id service;
+    socket_address engine;
+    model_id model;
+    std::string modelVersion;
+    std::string role;
+    group_id group;
+    std::uint32_t rank = 0;
+    target_limits limits;
+    bool engineChecksFences = false;
+    duration drainDeadline = std::chrono::seconds(330);
+};
+
+/** Settings of one process; exactly one of `entry` and `target` is there, `control` only with `entry`. */
+struct daemon_settings
+{
+    vm_id vm;
+    data_centre_id dataCentre;
+    std::string logLevel = "info";
+    mailbox_settings mailbox;
+    std::optional<entry_settings> entry;
+    std::optional<control_settings> control;
+    std::optional<target_settings> target;
+};
+
+/** Reads and checks a settings file; lists every problem with file, line and key. */
+[[nodiscard]] checked<daemon_settings> loadDaemonSettings(const std::string &path);
+[[nodiscard]] checked<daemon_settings> parseDaemonSettings(std::string_view text, const std::string &fileName);
+
+} // namespace figcleat
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
