--- a/include/figcleat/settings/configuration.h
+++ b/include/figcleat/settings/configuration.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figcleat
--- a/include/figcleat/settings/daemon-settings.h
+++ b/include/figcleat/settings/daemon-settings.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace figcleat
@@ -22,6 +23,11 @@
     bool operator==(const socket_address &) const = default;
 };
 
+/** Parses "127.0.0.1:7101" or "[::1]:7101"; nothing for a name, a missing port or port 0. */
+[[nodiscard]] std::optional<socket_address> parseSocketAddress(std::string_view text);
+/** The form that `parseSocketAddress` reads, with the IP address in its canonical spelling. */
+[[nodiscard]] std::string toString(const socket_address &address);
+
 struct mailbox_settings
 {
     socket_address address;
