--- a/test/configuration-test.cc
+++ b/test/configuration-test.cc
@@ -1,6 +1,10 @@
 #include "figcleat/settings/configuration.h"
+#include "figcleat/settings/daemon-settings.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <map>
+#include <set>
 #include <spdlog/fmt/fmt.h>
 
 using namespace figcleat;
@@ -143,3 +147,82 @@
         CHECK(withName(bad) == strings { "4 settings_out_of_range data_centre[0].name" });
     }
 }
+
+namespace
+{
+
+/** Settings of every process of a sample deployment. */
+std::vector<daemon_settings> loadSample(const std::filesystem::path &folder)
+{
+    std::vector<daemon_settings> all;
+    for (const auto &file : std::filesystem::directory_iterator(folder)) {
+        if (file.path().extension() != ".toml" || file.path().filename() == "configuration.toml") {
+            continue;
+        }
+        const auto read = loadDaemonSettings(file.path().string());
+        INFO(file.path() << (read ? "" : ": " + toString(read.error().front())));
+        REQUIRE(read.has_value());
+        all.push_back(*read);
+    }
+    return all;
+}
+
+void checkTarget(const target_settings &target, const configuration &config)
+{
+    const auto *named = findService(config, target.service);
+    REQUIRE(named != nullptr);
+    CHECK(named->kind == (target.model.empty() ? service_kind::plain : service_kind::model));
+    CHECK((target.model.empty() || findServiceOfModel(config, target.model) == named));
+}
+
+std::vector<std::string> listenersOf(const daemon_settings &process)
+{
+    std::vector<std::string> all { toString(process.mailbox.address) };
+    if (process.entry) {
+        all.push_back(toString(process.entry->callerAddress));
+        all.push_back(toString(process.entry->operatorAddress));
+    }
+    if (process.target) {
+        all.push_back(toString(process.target->engine));
+    }
+    return all;
+}
+
+} // namespace
+
+// Guards against samples that no longer load, or whose processes cannot run beside each other.
+TEST_CASE("the sample deployments are consistent", "[configuration]")
+{
+    for (const std::string name : { "tulonga", "caseta" }) {
+        const auto folder = std::filesystem::path(FIGCLEAT_SOURCE_DIR) / "examples" / name;
+        const auto config = loadConfiguration((folder / "configuration.toml").string());
+        REQUIRE(config.has_value());
+        CHECK(config->workspaces.size() == 10);
+        std::map<data_centre_id, int> voters;
+        std::map<service_id, int> targets;
+        std::set<std::string> listeners;
+        int entries = 0;
+        for (const auto &process : loadSample(folder)) {
+            CHECK(findDataCentre(*config, process.dataCentre) != nullptr);
+            for (const auto &address : listenersOf(process)) {
+                INFO(name << " " << address);
+                CHECK(listeners.insert(address).second);
+            }
+            entries += process.entry ? 1 : 0;
+            voters[process.dataCentre] += process.control ? 1 : 0;
+            if (process.target) {
+                checkTarget(*process.target, *config);
+                ++targets[process.target->service];
+            }
+        }
+        CHECK(entries == 8);
+        CHECK(targets
+              == std::map<service_id, int> { { config->services[0].name, 12 }, { config->services[1].name, 3 } });
+        int sum = 0;
+        for (const auto &[centre, count] : voters) {
+            CHECK(count <= 2);
+            sum += count;
+        }
+        CHECK(sum == 5);
+    }
+}
