--- a/include/figcleat/agreed/commands.h
+++ b/include/figcleat/agreed/commands.h
@@ -171,6 +171,16 @@
     MSGPACK_DEFINE(code, detail, revision, fence, status, record)
 };
 
+/** A command of operators that brought a data centre back, whatever the file says. */
+struct data_centre_back
+{
+    data_centre_id dataCentre {};
+    revision_number since {};
+
+    bool operator==(const data_centre_back &) const = default;
+    MSGPACK_DEFINE(dataCentre, since)
+};
+
 /** Configuration in force as it is distributed to every process. */
 struct configuration_in_force
 {
@@ -179,8 +189,8 @@
     std::string content {};
     /** Data centres that operators took out with a command since, sorted. */
     std::vector<data_centre_id> dataCentresOut {};
-    /** Data centres that operators brought back with a command since, whatever the file says, sorted. */
-    std::vector<data_centre_id> dataCentresIn {};
+    /** Data centres that operators brought back with a command since, sorted. */
+    std::vector<data_centre_back> dataCentresIn {};
 
     bool operator==(const configuration_in_force &) const = default;
     MSGPACK_DEFINE(revision, number, content, dataCentresOut, dataCentresIn)
--- a/include/figcleat/agreed/configurations.h
+++ b/include/figcleat/agreed/configurations.h
@@ -38,12 +38,18 @@
         MSGPACK_DEFINE(content, revision)
     };
 
+    struct data_centre_override
+    {
+        bool inService = true;
+        revision_number since;
+        MSGPACK_DEFINE(inService, since)
+    };
+
     void advance(log_index index);
     void listOverrides();
 
     std::map<std::uint64_t, accepted_file> m_accepted;
-    /** True: brought back; false: taken out. */
-    std::map<data_centre_id, bool> m_overrides;
+    std::map<data_centre_id, data_centre_override> m_overrides;
     configuration_in_force m_inForce;
 };
 
--- a/src/agreed/configurations.cc
+++ b/src/agreed/configurations.cc
@@ -41,7 +41,7 @@
         return { .code = result_code::not_configured, .detail = "no file was accepted yet" };
     }
     const auto known = m_overrides.find(change.dataCentre);
-    if (known != m_overrides.end() && known->second == change.inService) {
+    if (known != m_overrides.end() && known->second.inService == change.inService) {
         return { .revision = m_inForce.revision };
     }
     if (known == m_overrides.end() && m_overrides.size() >= maxOverrides) {
@@ -49,7 +49,7 @@
                  .detail = std::to_string(maxOverrides) + " data centres have an override" };
     }
     advance(index);
-    m_overrides[change.dataCentre] = change.inService;
+    m_overrides[change.dataCentre] = { change.inService, m_inForce.revision };
     listOverrides();
     return { .revision = m_inForce.revision };
 }
@@ -70,8 +70,12 @@
 {
     m_inForce.dataCentresOut.clear();
     m_inForce.dataCentresIn.clear();
-    for (const auto &[name, inService] : m_overrides) {
-        (inService ? m_inForce.dataCentresIn : m_inForce.dataCentresOut).push_back(name);
+    for (const auto &[name, held] : m_overrides) {
+        if (held.inService) {
+            m_inForce.dataCentresIn.push_back({ name, held.since });
+        } else {
+            m_inForce.dataCentresOut.push_back(name);
+        }
     }
 }
 
@@ -89,7 +93,7 @@
     m_inForce.revision = in.take<revision_number>();
     m_inForce.number = in.take<std::uint64_t>();
     m_inForce.content = in.take<std::string>();
-    m_overrides = in.take<std::map<data_centre_id, bool>>();
+    m_overrides = in.take<std::map<data_centre_id, data_centre_override>>();
     m_accepted = in.take<std::map<std::uint64_t, accepted_file>>();
     in.require(m_overrides.size() <= maxOverrides && m_accepted.size() <= maxNumbers);
     in.require(m_accepted.empty() == (m_inForce.revision.value == 0));
