--- a/include/figcleat/target/messages.h
+++ b/include/figcleat/target/messages.h
@@ -51,13 +51,16 @@
     work_cost spare;
     /** Time from start of an attempt to its first piece, smoothed, in microseconds. */
     std::uint64_t firstPieceMicros = 0;
+    /** Time between two pieces of an answer, smoothed, in microseconds. */
+    std::uint64_t pieceGapMicros = 0;
     bool engineChecksFences = false;
     /** Rises with each announcement of this incarnation; an older one is ignored. */
     std::uint64_t sequence = 0;
     revision_number revision;
 
     MSGPACK_DEFINE(target, service, dataCentre, vm, model, modelVersion, role, group, rank, incarnation,
-                   engineIncarnation, state, limit, spare, firstPieceMicros, engineChecksFences, sequence, revision)
+                   engineIncarnation, state, limit, spare, firstPieceMicros, pieceGapMicros, engineChecksFences,
+                   sequence, revision)
 };
 
 /** An HTTP call as it is passed on to the engine or service. */
@@ -97,13 +100,19 @@
     MSGPACK_DEFINE(attempt, request, workspace, targetIncarnation, cost, priority, remainingMs, claim, call)
 };
 
-/** The target did not run the attempt and never will. */
+/**
+ * The target did not run the attempt and never will, if `code` means "not run".
+ *
+ * Code duplicate_attempt says only that this copy of the dispatch did not start anything. A refusal speaks for
+ * the incarnation that sent it: another one than the dispatch named may have received an earlier copy.
+ */
 struct attempt_refused
 {
     attempt_id attempt;
     result_code code = result_code::ok;
+    incarnation_id targetIncarnation;
 
-    MSGPACK_DEFINE(attempt, code)
+    MSGPACK_DEFINE(attempt, code, targetIncarnation)
 };
 
 /** One piece of an answer. Piece 0 carries the HTTP status and headers, and maybe bytes. */
--- /dev/null
+++ b/src/target/latency-baseline.cc
@@ -0,0 +1,92 @@
+#include "figcleat/target/latency-baseline.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figcleat::target
+{
+
+namespace
+{
+
+const double normalExcess = std::log(1.5);
+
+double logOf(duration time, double units)
+{
+    const auto nanos = std::max<double>(1.0, static_cast<double>(time.count()));
+    return std::log(nanos / std::max(units, 1.0));
+}
+
+} // namespace
+
+latency_baseline::latency_baseline(baseline_settings settings)
+    : m_settings(settings)
+{
+}
+
+void latency_baseline::expect(duration perUnit)
+{
+    if (m_known) {
+        return;
+    }
+    m_known = true;
+    m_mean = logOf(perUnit, 1.0);
+}
+
+reading latency_baseline::observe(duration sample, double units, bool learnSlowly)
+{
+    const double value = logOf(sample, units);
+    if (!m_known) {
+        m_known = true;
+        m_mean = value;
+    }
+    const double excess = value - m_mean;
+    const bool over = m_samples >= m_settings.minSamples && excess > threshold();
+    m_over = over ? m_over + 1 : 0;
+    learn(excess, learnSlowly);
+    if (over && m_over >= m_settings.alarmSamples) {
+        return reading::alarm;
+    }
+    return excess <= normalExcess ? reading::normal : reading::slow;
+}
+
+bool latency_baseline::isOverdue(duration elapsed, double units) const
+{
+    return m_samples >= m_settings.minSamples && logOf(elapsed, units) - m_mean > threshold();
+}
+
+duration latency_baseline::expected(double units) const
+{
+    return m_known ? duration(static_cast<std::int64_t>(std::exp(m_mean) * std::max(units, 1.0))) : duration(0);
+}
+
+std::uint32_t latency_baseline::samples() const
+{
+    return m_samples;
+}
+
+double latency_baseline::threshold() const
+{
+    return std::max(std::log(m_settings.alarmFactor), m_settings.noiseMultiple * std::sqrt(m_variance));
+}
+
+void latency_baseline::learn(double excess, bool slowly)
+{
+    // The first sample replaces the configured expectation, so that the history holds only what was measured.
+    if (m_samples++ == 0) {
+        m_mean += excess;
+        return;
+    }
+    const double steady = 1.0 / m_settings.window;
+    double weight = std::max(steady, 1.0 / m_samples);
+    if (m_samples <= m_settings.minSamples) {
+        m_mean += weight * excess;
+    } else {
+        weight = slowly ? steady / 8 : steady;
+        m_mean += weight * std::min(excess, normalExcess);
+    }
+    const double bounded = std::clamp(excess, -std::log(m_settings.alarmFactor), std::log(m_settings.alarmFactor));
+    m_variance += weight * (bounded * bounded - m_variance);
+}
+
+} // namespace figcleat::target
