--- a/examples/generate.py
+++ b/examples/generate.py
@@ -117,6 +117,8 @@
         section("[mailbox]", {
             "address": mailboxes[index],
             "peers": mailboxes[:index] + mailboxes[index + 1:],
+            "nearby": [address for address, entry in zip(mailboxes, all_entries)
+                       if entry[1] == centre and entry[0] != name],
         }),
         section("[entry]", {
             "caller_address": ports.address(CALLER, index),
@@ -137,7 +139,7 @@
     return {"group": f"{service}-{centre}", "rank": number // centres, "role": "mixed"}
 
 
-def target_file(deployment, service, number, index, entry_count, ports):
+def target_file(deployment, service, number, index, all_entries, ports):
     centres = deployment["data_centres"]
     centre = centres[number % len(centres)]
     name = f"{service['name']}-{number + 1}"
@@ -155,7 +157,8 @@
         section("[log]", {"level": "info"}),
         section("[mailbox]", {
             "address": ports.address(TARGET_MAILBOX, index),
-            "peers": [ports.address(ENTRY_MAILBOX, i) for i in range(entry_count)],
+            "peers": [ports.address(ENTRY_MAILBOX, i) for i in range(len(all_entries))],
+            "nearby": [ports.address(ENTRY_MAILBOX, i) for i, entry in enumerate(all_entries) if entry[1] == centre],
         }),
         section("[target]", target),
         section("[target.full]", limits["full"]),
@@ -193,7 +196,7 @@
     for position, kind in enumerate(("model_service", "plain_service")):
         service = deployment[kind]
         for number in range(target_counts[position] if target_counts else service["targets"]):
-            yield target_file(deployment, service, number, index, len(all_entries), ports)
+            yield target_file(deployment, service, number, index, all_entries, ports)
             index += 1
 
 
--- a/include/figcleat/core/units.h
+++ b/include/figcleat/core/units.h
@@ -61,6 +61,11 @@
         generatedTokens -= other.generatedTokens;
         return *this;
     }
+    friend work_cost operator-(work_cost a, const work_cost &b)
+    {
+        a -= b;
+        return a;
+    }
     /** True if every kind of cost is within the limit. */
     [[nodiscard]] bool fitsIn(const work_cost &limit) const
     {
--- /dev/null
+++ b/include/figcleat/daemon/process-message.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "figcleat/agreed/commands.h"
+#include "figcleat/consensus/messages.h"
+#include "figcleat/distribution/messages.h"
+#include "figcleat/target/messages.h"
+#include "figcleat/wire/codec.h"
+
+#include <variant>
+
+/** The messages between the processes of figcleat and their envelope. */
+namespace figcleat
+{
+
+/** Heartbeat of an entry, to other entries and to the targets that announce themselves to it. */
+struct peer_state
+{
+    vm_id vm;
+    data_centre_id dataCentre;
+    bool isVoter = false;
+    /** Mailbox of the leader that this voter knows; empty if none. */
+    peer_address leader;
+    /** Requests in progress, for the status table. */
+    std::uint32_t requestsInProgress = 0;
+
+    MSGPACK_DEFINE(vm, dataCentre, isVoter, leader, requestsInProgress)
+};
+
+/** Asks a voter to put a command into the log. */
+struct proposal
+{
+    std::uint64_t id = 0;
+    agreed::command command;
+
+    MSGPACK_DEFINE(id, command)
+};
+
+struct proposal_answer
+{
+    std::uint64_t id = 0;
+    result_code code = result_code::ok;
+    agreed::outcome result;
+    /** Where to ask instead, with code not_leader. */
+    peer_address leader;
+
+    MSGPACK_DEFINE(id, code, result, leader)
+};
+
+/** Asks a voter for the usage totals, as of now. */
+struct usage_query
+{
+    std::uint64_t id = 0;
+
+    MSGPACK_DEFINE(id)
+};
+
+struct usage_answer
+{
+    std::uint64_t id = 0;
+    result_code code = result_code::ok;
+    std::vector<agreed::usage_row> rows;
+
+    MSGPACK_DEFINE(id, code, rows)
+};
+
+/** Asks the leader to change the set of voters; answered by proposal_answer. */
+struct membership_request
+{
+    std::uint64_t id = 0;
+    bool add = true;
+    peer_address address;
+
+    MSGPACK_DEFINE(id, add, address)
+};
+
+using process_message
+    = std::variant<announce, dispatch, attempt_refused, answer_piece, attempt_finished, attempt_cancel, close_attempt,
+                   attempt_closed, peer_state, proposal, proposal_answer, usage_query, usage_answer, membership_request,
+                   distribution::heartbeat, distribution::fetch_configuration, distribution::fetch_declined,
+                   distribution::configuration_copy, consensus::raft_message>;
+
+struct envelope
+{
+    peer_address from;
+    incarnation_id incarnation;
+    process_message message;
+
+    MSGPACK_DEFINE(from, incarnation, message)
+};
+
+} // namespace figcleat
--- /dev/null
+++ b/include/figcleat/request/replies.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "figcleat/request/events.h"
+
+namespace figcleat::request
+{
+
+/** Answer that reports a result code, as a JSON object `error` with the headers that carry the code. */
+[[nodiscard]] reply errorReply(exchange_id exchange, const request_id &id, result_code code, std::string_view detail);
+
+/** Headers of every answer that came from a service. */
+[[nodiscard]] http_headers answerHeaders(const request_id &id, http_headers fromService);
+
+} // namespace figcleat::request
--- a/include/figcleat/settings/daemon-settings.h
+++ b/include/figcleat/settings/daemon-settings.h
@@ -33,6 +33,8 @@
     socket_address address;
     /** Mailboxes of the entries this process exchanges state with (an entry) or announces to (a target). */
     std::vector<peer_address> peers;
+    /** Those of `peers` in the process's own data centre. */
+    std::vector<peer_address> nearby;
 };
 
 struct entry_settings
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,4 +1,6 @@
-int main()
+#include "figcleat/cli/commands.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return figcleat::cli::run(argc, argv);
 }
--- a/src/core/result-code.cc
+++ b/src/core/result-code.cc
@@ -55,7 +55,7 @@
     { caller_gone, "caller_gone", unknown, 499, 12, "The caller closed its connection." },
     { still_running, "still_running", unknown, 409, 12, "A call with this key is still running." },
     { outcome_unknown, "outcome_unknown", unknown, 502, 12, "A call with this key may have run; its outcome is lost." },
-    { answer_not_kept, "answer_not_kept", ran, 200, 0, "The call ran; its answer was too large to be kept." },
+    { answer_not_kept, "answer_not_kept", ran, 410, 12, "The call ran; its answer was too large to be kept." },
     { buffer_full, "buffer_full", unknown, 502, 12, "The caller reads too slowly and its buffer is full." },
     { settings_unreadable, "settings_unreadable", not_applicable, 500, 20, "The file cannot be read." },
     { settings_syntax, "settings_syntax", not_applicable, 400, 21, "The file is not valid TOML." },
--- /dev/null
+++ b/src/daemon/entry-operators.cc
@@ -0,0 +1,179 @@
+#include "figcleat/core/invariant.h"
+#include "figcleat/daemon/entry-node.h"
+
+#include <fmt/format.h>
+
+/** What an entry tells operators and does for them. */
+namespace figcleat
+{
+
+namespace
+{
+
+std::int64_t toMillis(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+std::string_view toString(target_state state)
+{
+    switch (state) {
+    case target_state::cold:
+        return "cold";
+    case target_state::warm:
+        return "warm";
+    case target_state::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
+void addCounter(std::string &text, std::string_view name, std::string_view labels, std::uint64_t value)
+{
+    fmt::format_to(std::back_inserter(text), "{}{} {}\n", name, labels, value);
+}
+
+} // namespace
+
+void entry_node::propose(agreed::command command, decision_function decide)
+{
+    submit(std::move(command), std::move(decide));
+}
+
+void entry_node::changeMembership(bool add, const peer_address &voter, decision_function decide)
+{
+    const auto leader = leaderHint();
+    if (leader.empty()) {
+        decide(result_code::agreement_unavailable, {});
+        return;
+    }
+    const std::uint64_t id = ++m_lastId;
+    m_decisions.emplace(id, std::move(decide));
+    m_messenger->send(leader, membership_request { id, add, voter });
+}
+
+void entry_node::readUsage(usage_function answer)
+{
+    const auto leader = leaderHint();
+    if (leader.empty()) {
+        answer(result_code::agreement_unavailable, {});
+        return;
+    }
+    const std::uint64_t id = ++m_lastId;
+    m_usageReads.emplace(id, std::move(answer));
+    m_messenger->send(leader, usage_query { id });
+}
+
+bool entry_node::overrideLocally(const data_centre_id &dataCentre, bool out)
+{
+    if (dataCentre != m_settings.dataCentre) {
+        return false;
+    }
+    step(distribution::replica_event { distribution::override_requested { out } });
+    return true;
+}
+
+const agreed::configuration_in_force &entry_node::inForce() const
+{
+    return m_replica.configuration();
+}
+
+nlohmann::json entry_node::status() const
+{
+    const auto &held = m_replica.configuration();
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto &name : held.dataCentresOut) {
+        out.push_back(name.value);
+    }
+    return { { "vm", m_settings.vm.value },
+             { "data_centre", m_settings.dataCentre.value },
+             { "revision", held.revision.value },
+             { "number", held.number },
+             { "data_centres_out", out },
+             { "out_locally", m_replica.isOutLocally() },
+             { "requests_in_progress", m_pipeline.requestsInProgress() },
+             { "control", controlStatus() },
+             { "entries", peerStatus() },
+             { "targets", targetStatus() } };
+}
+
+nlohmann::json entry_node::controlStatus() const
+{
+    if (!m_control) {
+        return { { "role", "none" }, { "leader", leaderHint().value } };
+    }
+    const auto log = m_control->status();
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto &follower : log.members) {
+        members.push_back({ { "address", follower.who.address.value },
+                            { "role", follower.who.role == consensus::member_role::voter ? "voter" : "learner" },
+                            { "match", follower.match.value },
+                            { "reachable", follower.reachable } });
+    }
+    return { { "role", consensus::toString(log.role) },
+             { "term", log.term.value },
+             { "leader", log.leader.value_or(peer_address {}).value },
+             { "commit", log.commit.value },
+             { "last", log.last.value },
+             { "claims", m_control->state().claimCount() },
+             { "members", members } };
+}
+
+nlohmann::json entry_node::peerStatus() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[address, peer] : m_peers) {
+        if (peer.state.vm.empty()) {
+            continue;
+        }
+        list.push_back({ { "vm", peer.state.vm.value },
+                         { "address", address.value },
+                         { "data_centre", peer.state.dataCentre.value },
+                         { "revision", peer.revision.value },
+                         { "voter", peer.state.isVoter },
+                         { "requests_in_progress", peer.state.requestsInProgress },
+                         { "age_ms", toMillis(m_messenger->silenceOf(address).value_or(duration(-1))) } });
+    }
+    return list;
+}
+
+nlohmann::json entry_node::targetStatus() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[name, known] : m_pipeline.targets().all()) {
+        const auto &report = known.report;
+        list.push_back({ { "target", name.value },
+                         { "service", report.service.value },
+                         { "data_centre", report.dataCentre.value },
+                         { "group", report.group.value },
+                         { "rank", report.rank },
+                         { "state", known.silent ? "silent" : toString(report.state) },
+                         { "limit", report.limit.requests.count },
+                         { "in_progress", (report.limit - report.spare).requests.count },
+                         { "revision", report.revision.value },
+                         { "age_ms", toMillis(m_time->now() - known.heardAt) } });
+    }
+    return list;
+}
+
+std::string entry_node::metrics() const
+{
+    std::string text;
+    text += "# HELP figcleat_requests_total Requests by result code.\n# TYPE figcleat_requests_total counter\n";
+    for (const auto &[code, count] : m_ended) {
+        addCounter(text, "figcleat_requests_total",
+                   fmt::format("{{code=\"{}\",name=\"{}\"}}", static_cast<int>(code), describe(code).name), count);
+    }
+    const auto &messages = m_messenger->counters();
+    addCounter(text, "figcleat_requests_in_progress", "", m_pipeline.requestsInProgress());
+    addCounter(text, "figcleat_mailbox_sent_bytes_total", "", messages.bytesSent);
+    addCounter(text, "figcleat_mailbox_received_bytes_total", "", messages.bytesReceived);
+    addCounter(text, "figcleat_mailbox_sent_messages_total", "", messages.messagesSent);
+    addCounter(text, "figcleat_mailbox_received_messages_total", "", messages.messagesReceived);
+    addCounter(text, "figcleat_mailbox_dropped_messages_total", "", messages.messagesDropped);
+    addCounter(text, "figcleat_configuration_revision", "", m_replica.configuration().revision.value);
+    addCounter(text, "figcleat_invariant_violations_total", "", violationCount());
+    return text;
+}
+
+} // namespace figcleat
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,4 +1,107 @@
-int main()
+#include "figcleat/core/invariant.h"
+#include "figcleat/core/log.h"
+#include "figcleat/daemon/entry-node.h"
+#include "figcleat/daemon/target-node.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace
 {
+
+using namespace figcleat;
+
+struct arguments
+{
+    std::string settingsPath;
+    bool checkOnly = false;
+    bool help = false;
+};
+
+expected<arguments> parseArguments(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    arguments given;
+    po::options_description known("Usage: figcleatd --settings FILE [--check]\n\nOptions");
+    known.add_options()("settings,s", po::value(&given.settingsPath), "settings file of this process (TOML)")(
+        "check", po::bool_switch(&given.checkOnly),
+        "check the settings file and exit")("help,h", po::bool_switch(&given.help), "show this text");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, known), values);
+        po::notify(values);
+    } catch (const po::error &problem) {
+        return fail(result_code::usage_error, problem.what());
+    }
+    if (given.help) {
+        std::cout << known;
+    } else if (given.settingsPath.empty()) {
+        return fail(result_code::usage_error, "--settings is missing");
+    }
+    return given;
+}
+
+int exitStatus(const error &problem)
+{
+    const auto &info = describe(problem.code);
+    std::cerr << "figcleatd: " << problem.detail << " (" << static_cast<int>(problem.code) << " " << info.name << ")\n";
+    return info.exitStatus;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device source;
+    return (std::uint64_t { source() } << 32U) | source();
+}
+
+template<typename Node>
+int serve(const daemon_settings &settings)
+{
+    loop eventLoop;
+    const system_clock time;
+    auto node = Node::open(settings, eventLoop, time, randomNumber());
+    if (!node) {
+        return exitStatus(node.error());
+    }
+    for (const int number : { SIGTERM, SIGINT }) {
+        eventLoop.onSignal(number, [&node] { (*node)->drain(); });
+    }
+    logFor(part::daemon)->info("Serves in {}.", settings.dataCentre.value);
+    eventLoop.run();
+    logFor(part::daemon)->info("Has stopped.");
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto given = parseArguments(argc, argv);
+    if (!given) {
+        return exitStatus(given.error());
+    }
+    if (given->help) {
+        return 0;
+    }
+    const auto settings = loadDaemonSettings(given->settingsPath);
+    if (!settings) {
+        for (const auto &found : settings.error()) {
+            std::cerr << toString(found) << '\n';
+        }
+        return describe(settings.error().front().code).exitStatus;
+    }
+    if (given->checkOnly) {
+        std::cout << given->settingsPath << ": no problem found\n";
+        return 0;
+    }
+    startLog(settings->logLevel, settings->vm.value);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return settings->entry ? serve<entry_node>(*settings) : serve<target_node>(*settings);
+    } catch (const invariant_violation &violation) {
+        return exitStatus({ violation.code(), violation.what() });
+    }
+}
--- /dev/null
+++ b/src/daemon/messenger.cc
@@ -0,0 +1,105 @@
+#include "figcleat/daemon/messenger.h"
+
+#include "figcleat/core/log.h"
+
+namespace figcleat
+{
+
+namespace
+{
+
+constexpr std::size_t maxPeers = 4096;
+
+} // namespace
+
+messenger::messenger(const clock &time, peer_address self, incarnation_id incarnation, handler onMessage)
+    : m_time(&time)
+    , m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_onMessage(std::move(onMessage))
+{
+}
+
+expected<std::unique_ptr<messenger>> messenger::open(loop &eventLoop, const clock &time, const peer_address &self,
+                                                     incarnation_id incarnation, handler onMessage)
+{
+    auto opened = std::unique_ptr<messenger>(new messenger(time, self, incarnation, std::move(onMessage)));
+    auto box = mailbox::open(eventLoop.base(), self,
+                             [target = opened.get()](std::string_view bytes) { target->receive(bytes); });
+    if (!box) {
+        return tl::unexpected<error>(box.error());
+    }
+    opened->m_mailbox = std::move(*box);
+    return opened;
+}
+
+void messenger::send(const peer_address &to, process_message message)
+{
+    m_dialled.try_emplace(to, m_time->now());
+    const auto sent = m_mailbox->send(to, encode(envelope { m_self, m_incarnation, std::move(message) }));
+    if (!sent) {
+        logFor(part::mailbox)->debug("A message to {} is dropped: {}.", to.value, describe(sent.error().code).name);
+    }
+}
+
+void messenger::receive(std::string_view bytes)
+{
+    const auto received = decode<envelope>(bytes);
+    if (!received) {
+        logFor(part::mailbox)->warn("Refuses a message of {} bytes: {}.", bytes.size(), received.error().detail);
+        return;
+    }
+    if (m_heard.size() < maxPeers || m_heard.contains(received->from)) {
+        m_heard[received->from] = { m_time->now(), false };
+    }
+    m_onMessage(*received);
+}
+
+void messenger::tick()
+{
+    const time_point now = m_time->now();
+    for (auto &[address, dialled] : m_dialled) {
+        const auto heard = m_heard.find(address);
+        const time_point last = heard == m_heard.end() ? dialled : std::max(dialled, heard->second.lastHeard);
+        // Something between the two ends may have lost track of the connection while new ones work.
+        if (now - last >= peerSilence) {
+            m_mailbox->reconnect(address);
+            dialled = now;
+        }
+    }
+}
+
+std::vector<peer_address> messenger::newlySilent(duration limit)
+{
+    std::vector<peer_address> silent;
+    for (auto &[address, state] : m_heard) {
+        if (!state.reportedSilent && m_time->now() - state.lastHeard >= limit) {
+            state.reportedSilent = true;
+            silent.push_back(address);
+        }
+    }
+    return silent;
+}
+
+std::optional<duration> messenger::silenceOf(const peer_address &peer) const
+{
+    const auto found = m_heard.find(peer);
+    return found == m_heard.end() ? std::nullopt : std::optional(m_time->now() - found->second.lastHeard);
+}
+
+const mailbox_counters &messenger::counters() const
+{
+    return m_mailbox->counters();
+}
+
+incarnation_id messenger::incarnation() const
+{
+    return m_incarnation;
+}
+
+const peer_address &messenger::self() const
+{
+    return m_self;
+}
+
+} // namespace figcleat
--- /dev/null
+++ b/src/request/pipeline.cc
@@ -0,0 +1,237 @@
+#include "figcleat/request/pipeline.h"
+
+#include "figcleat/core/invariant.h"
+#include "figcleat/core/log.h"
+#include "figcleat/request/replies.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace figcleat::request
+{
+
+pipeline::pipeline(options chosen)
+    : m_options(std::move(chosen))
+    , m_targets(placement::table_settings { m_options.dataCentre })
+    , m_policy(placement::two_choices_by_spare {})
+    , m_usage(m_options.entry)
+    , m_random(m_options.seed)
+{
+}
+
+std::vector<pipeline_action> pipeline::step(const pipeline_event &event, time_point now)
+{
+    m_now = now;
+    std::visit([this](const auto &happened) { on(happened); }, event);
+    eraseEnded();
+    return std::exchange(m_actions, {});
+}
+
+std::size_t pipeline::requestsInProgress() const
+{
+    return m_requests.size();
+}
+
+const placement::table &pipeline::targets() const
+{
+    return m_targets;
+}
+
+void pipeline::emit(pipeline_action action)
+{
+    m_actions.push_back(std::move(action));
+}
+
+result_code pipeline::admit(const identified_call &call) const
+{
+    if (m_requests.size() >= m_options.maxRequestsInProgress) {
+        return result_code::queue_full;
+    }
+    const auto found = m_perWorkspace.find(call.workspace);
+    const std::uint32_t inProgress = found == m_perWorkspace.end() ? 0 : found->second;
+    const auto known = std::find_if(m_config->workspaces.begin(), m_config->workspaces.end(),
+                                    [&call](const workspace &candidate) { return candidate.name == call.workspace; });
+    return known != m_config->workspaces.end() && inProgress >= known->maxRequestsInProgress
+        ? result_code::workspace_limit
+        : result_code::ok;
+}
+
+void pipeline::on(const call_arrived &event)
+{
+    const request_id fallback { fmt::format("{:016x}-{}", m_options.entry.value, ++m_lastRequest) };
+    if (m_stopping) {
+        refuse(event.exchange, fallback, { result_code::entry_stopping, "the entry is stopping" });
+        return;
+    }
+    if (!m_config) {
+        refuse(event.exchange, fallback, { result_code::not_configured, "no configuration is in force yet" });
+        return;
+    }
+    auto call = identify(event.received, *m_config, fallback, m_now);
+    if (!call) {
+        refuse(event.exchange, fallback, call.error());
+        return;
+    }
+    if (const result_code code = admit(*call); code != result_code::ok) {
+        refuse(event.exchange, call->id, { code, call->workspace.value });
+        return;
+    }
+    auto &request = m_requests[m_lastRequest];
+    request.number = m_lastRequest;
+    request.exchange = event.exchange;
+    request.call = std::move(*call);
+    request.arrived = m_now;
+    m_byExchange.emplace(event.exchange, m_lastRequest);
+    ++m_perWorkspace[request.call.workspace];
+    place(request);
+}
+
+void pipeline::on(const caller_gone &event)
+{
+    const auto found = m_byExchange.find(event.exchange);
+    if (found == m_byExchange.end()) {
+        return;
+    }
+    auto &request = m_requests.at(found->second);
+    m_byExchange.erase(found);
+    request.exchange = {};
+    // A claimed call goes on, so that a resend of its key finds the outcome.
+    if (request.call.repeatable) {
+        cancelAttempt(request);
+        end(request, result_code::caller_gone);
+    }
+}
+
+void pipeline::on(const caller_too_slow &event)
+{
+    const auto found = m_byExchange.find(event.exchange);
+    if (found == m_byExchange.end()) {
+        return;
+    }
+    auto &request = m_requests.at(found->second);
+    cancelAttempt(request);
+    end(request, result_code::buffer_full);
+}
+
+void pipeline::on(const configuration_changed &event)
+{
+    m_config = event.config;
+    std::set<data_centre_id> out(event.dataCentresOut.begin(), event.dataCentresOut.end());
+    for (const auto &known : event.config->dataCentres) {
+        if (!known.inService) {
+            out.insert(known.name);
+        }
+    }
+    m_targets.setDataCentresOut(std::move(out));
+}
+
+void pipeline::on(const stop_requested & /*event*/)
+{
+    m_stopping = true;
+}
+
+void pipeline::on(const tick & /*event*/)
+{
+    for (const auto &lost : m_targets.expire(m_now)) {
+        onTargetLost(lost);
+    }
+    for (auto &[id, request] : m_requests) {
+        if (request.ended) {
+            continue;
+        }
+        if (m_now >= request.call.deadline + deadlineGrace) {
+            onDeadline(request);
+        } else if (request.now != phase::dispatched && m_now >= request.wakeAt) {
+            onPhaseTimeout(request);
+        }
+    }
+    if (auto batch = m_usage.due(m_now)) {
+        m_usageSequence = batch->sequence;
+        m_usageProposal = ++m_lastProposal;
+        emit(propose { m_usageProposal, std::move(*batch) });
+    }
+    eraseEnded();
+    if (m_stopping && m_requests.empty() && m_usage.empty() && !std::exchange(m_drained, true)) {
+        emit(drained {});
+    }
+}
+
+void pipeline::onPhaseTimeout(request_in_progress &request)
+{
+    switch (request.now) {
+    case phase::waiting:
+        place(request);
+        return;
+    case phase::claiming:
+    case phase::releasing:
+        end(request, result_code::agreement_unavailable);
+        return;
+    case phase::resolving:
+        end(request, result_code::outcome_unknown);
+        return;
+    case phase::settling:
+        onSettleDecided(request);
+        return;
+    case phase::dispatched:
+        return;
+    }
+}
+
+request_in_progress *pipeline::findAttempt(attempt_id attempt)
+{
+    const auto found = m_byAttempt.find(attempt);
+    return found == m_byAttempt.end() ? nullptr : &m_requests.at(found->second);
+}
+
+void pipeline::refuse(exchange_id exchange, const request_id &id, const error &why)
+{
+    logFor(part::request)->debug("Request {} is refused: {} ({}).", id.value, describe(why.code).name, why.detail);
+    emit(errorReply(exchange, id, why.code, why.detail));
+    request_ended ended;
+    ended.id = id;
+    ended.code = why.code;
+    emit(std::move(ended));
+}
+
+void pipeline::end(request_in_progress &request, result_code code)
+{
+    const result_code told = codeFor(code, request.attempts);
+    if (describe(told).ran == execution::not_run) {
+        ensure(verdictOf(request.attempts) == execution::not_run && !request.stream.hasStarted(),
+               result_code::invariant_not_run, request.call.id.value);
+    }
+    logFor(part::request)
+        ->debug("Request {} of {} ends with {}.", request.call.id.value, request.call.workspace.value,
+                describe(told).name);
+    if (request.exchange != exchange_id {} && told != result_code::ok) {
+        if (request.stream.hasStarted() && request.call.streaming) {
+            emit(break_stream { request.exchange });
+        } else {
+            emit(errorReply(request.exchange, request.call.id, told, describe(told).meaning));
+        }
+    }
+    if (verdictOf(request.attempts) != execution::not_run) {
+        m_usage.add({ request.call.workspace,
+                      request.call.service,
+                      { 1 },
+                      request.call.cost.promptTokens,
+                      request.generatedTokens });
+    }
+    emit(request_ended { request.call.id, request.call.workspace, request.call.service, told, m_now - request.arrived,
+                         request.firstByte, request.attempts.handedOver });
+    forgetAttempt(request);
+    m_byExchange.erase(request.exchange);
+    m_byProposal.erase(request.proposal);
+    if (--m_perWorkspace[request.call.workspace] == 0) {
+        m_perWorkspace.erase(request.call.workspace);
+    }
+    request.ended = true;
+}
+
+void pipeline::eraseEnded()
+{
+    // Requests end inside loops over all of them, so they are erased afterwards.
+    std::erase_if(m_requests, [](const auto &entry) { return entry.second.ended; });
+}
+
+} // namespace figcleat::request
--- a/src/settings/daemon-settings.cc
+++ b/src/settings/daemon-settings.cc
@@ -117,6 +117,12 @@
     readAddress(*reader, "address", out.address);
     // A target without peers could announce itself to nobody.
     readPeers(*reader, "peers", out.peers, root.has("target") ? presence::required : presence::optional);
+    readPeers(*reader, "nearby", out.nearby, presence::optional);
+    for (const auto &near : out.nearby) {
+        if (std::find(out.peers.begin(), out.peers.end(), near) == out.peers.end()) {
+            reader->report(result_code::configuration_invalid, "nearby", fmt::format("{} is not in peers", near.value));
+        }
+    }
     const peer_address own { toString(out.address) };
     if (std::find(out.peers.begin(), out.peers.end(), own) != out.peers.end()) {
         reader->report(result_code::configuration_invalid, "peers", "the own mailbox address is listed");
