--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -103,6 +103,7 @@
     std::shared_ptr<const configuration> m_config;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, decision_function> m_decisions;
+    std::unordered_map<std::uint64_t, decision_function> m_membershipChanges;
     std::unordered_map<std::uint64_t, usage_function> m_usageReads;
     std::map<peer_address, known_peer> m_peers;
     std::map<peer_address, target_id> m_targets;
--- a/include/figcleat/placement/table.h
+++ b/include/figcleat/placement/table.h
@@ -112,6 +112,7 @@
     void refused(const target_id &target, incarnation_id incarnation);
 
     [[nodiscard]] const known_target *find(const target_id &target) const;
+    [[nodiscard]] const std::map<target_id, known_target> &all() const;
     /** Targets that may get the request, whether or not they have room for it. */
     [[nodiscard]] std::vector<candidate> candidates(const placement_request &request, time_point now) const;
     /** Entries of other data centres in service. */
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -177,9 +177,9 @@
 void entry_node::on(const peer_address &from, const proposal_answer &message)
 {
     carryOutAll(m_proposer.onAnswer(from, message.id, message.code, message.result, message.leader, m_time->now()));
-    if (const auto found = m_decisions.find(message.id); found != m_decisions.end()) {
+    if (const auto found = m_membershipChanges.find(message.id); found != m_membershipChanges.end()) {
         const auto decide = std::move(found->second);
-        m_decisions.erase(found);
+        m_membershipChanges.erase(found);
         decide(message.code, message.result);
     }
 }
@@ -257,6 +257,7 @@
         m_control->tick();
     }
     for (const auto &silent : m_messenger->newlySilent(peerSilence)) {
+        logFor(part::mailbox)->warn("Peer {} is silent.", silent.value);
         m_proposer.onSilent(silent);
         m_targets.erase(silent);
     }
--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -48,7 +48,7 @@
         return;
     }
     const std::uint64_t id = ++m_lastId;
-    m_decisions.emplace(id, std::move(decide));
+    m_membershipChanges.emplace(id, std::move(decide));
     m_messenger->send(leader, membership_request { id, add, voter });
 }
 
--- a/src/daemon/messenger.cc
+++ b/src/daemon/messenger.cc
@@ -59,6 +59,9 @@
 {
     const time_point now = m_time->now();
     for (auto &[address, dialled] : m_dialled) {
+        if (address == m_self) {
+            continue;
+        }
         const auto heard = m_heard.find(address);
         const time_point last = heard == m_heard.end() ? dialled : std::max(dialled, heard->second.lastHeard);
         // Something between the two ends may have lost track of the connection while new ones work.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -87,6 +87,7 @@
 
     ~state();
     void receive(evhtp_request_t *request);
+    void leave(connection &from);
     void reject(evhtp_request_t *request, connection &from, result_code code);
     evhtp_request_t *finish(exchange_id exchange);
     evhtp_request_t *find(exchange_id exchange) const;
@@ -175,14 +176,19 @@
     return from.bodyBytes > limit * discardFactor ? EVHTP_RES_FATAL : EVHTP_RES_OK;
 }
 
-evhtp_res http_server::state::onRequestEnd(evhtp_request_t * /*request*/, void *context)
+void http_server::state::leave(connection &from)
 {
-    auto &from = *static_cast<connection *>(context);
     evtimer_del(from.receiveTimer);
     const exchange_id ended = std::exchange(from.current, {});
-    if (from.server->exchanges.erase(ended) > 0 && from.server->handler != nullptr) {
-        from.server->handler->onCallerGone(ended);
+    if (exchanges.erase(ended) > 0 && handler != nullptr) {
+        handler->onCallerGone(ended);
     }
+}
+
+evhtp_res http_server::state::onRequestEnd(evhtp_request_t * /*request*/, void *context)
+{
+    auto &from = *static_cast<connection *>(context);
+    from.server->leave(from);
     const timeval idle = toTimeval(idleTimeout);
     bufferevent_set_timeouts(from.handle->bev, &idle, nullptr);
     return EVHTP_RES_OK;
@@ -191,6 +197,9 @@
 evhtp_res http_server::state::onConnectionEnd(evhtp_connection_t *handle, void *context)
 {
     auto *from = static_cast<connection *>(context);
+    // libevhtp ends the connection before its request, whose hook would still get this context.
+    evhtp_connection_unset_hook(handle, evhtp_hook_on_request_fini);
+    from->server->leave(*from);
     event_free(from->receiveTimer);
     from->server->connections.erase(handle);
     return EVHTP_RES_OK;
--- a/src/placement/table.cc
+++ b/src/placement/table.cc
@@ -257,4 +257,9 @@
     }
 }
 
+const std::map<target_id, known_target> &table::all() const
+{
+    return m_targets;
+}
+
 } // namespace figcleat::placement
--- a/src/wire/mailbox.cc
+++ b/src/wire/mailbox.cc
@@ -165,7 +165,7 @@
 void mailbox::reconnect(const peer_address &to)
 {
     if (m_state->peers.erase(to) > 0) {
-        logFor(part::mailbox)->warn("Peer {} is silent; its connection is closed.", to.value);
+        logFor(part::mailbox)->debug("Peer {} is silent; its connection is closed.", to.value);
     }
 }
 
--- a/test/standin.cc
+++ b/test/standin.cc
@@ -1,8 +1,8 @@
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <csignal>
 #include <event2/keyvalq_struct.h>
 #include <iostream>
 #include <map>
