--- a/include/figcleat/distribution/replica.h
+++ b/include/figcleat/distribution/replica.h
@@ -30,10 +30,12 @@
     duration period = std::chrono::milliseconds(500);
     /** Above a round trip between regions with a copy of the largest file at 1 Gbit/s. */
     duration fetchTimeout = std::chrono::milliseconds(250);
+    /** Between questions to random entries while a higher revision is known and no holder gives it. */
+    duration probePeriod = std::chrono::milliseconds(100);
     /** Control overhead that the design allows a node. */
     std::int64_t bytesPerSecond = 23'000;
-    /** Ten seconds of the rate: five copies of a file of 46 KB, so that copies multiply in each round. */
-    std::int64_t burstBytes = 230'000;
+    /** Five copies of a file of 46 KB at once, so that copies multiply in each round. */
+    std::int64_t burstBytes = 240'000;
 };
 
 struct tick
@@ -152,6 +154,7 @@
     void rememberHolder(const peer_address &from, revision_number revision);
     void forgetHolder(const peer_address &from);
     void fetchIfNeeded(time_point now);
+    void probeIfBehind(time_point now);
     void gossip();
     void gossipNearby();
     void sendHeartbeat(const peer_address &to);
@@ -165,6 +168,9 @@
     std::vector<holder> m_holders;
     std::optional<pending_fetch> m_fetch;
     std::optional<time_point> m_nextGossip;
+    /** Highest revision heard of in this period. */
+    revision_number m_heard;
+    time_point m_nextProbe {};
     std::vector<replica_action> m_actions;
 };
 
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -56,10 +56,14 @@
         m_fetch.reset();
     }
     fetchIfNeeded(now);
+    probeIfBehind(now);
     if (m_nextGossip && now < *m_nextGossip) {
         return;
     }
-    m_nextGossip = now + m_settings.period;
+    // The first period is cut at random, so that processes that start together do not send together ever after.
+    const auto percent = static_cast<std::int64_t>(m_nextGossip ? 100 : m_partners.below(100));
+    m_nextGossip = now + m_settings.period * percent / 100;
+    m_heard = {};
     gossip();
     if (m_local.out) {
         gossipNearby();
@@ -76,6 +80,7 @@
         gossipNearby();
     }
     if (message.revision > m_held.revision) {
+        m_heard = std::max(m_heard, message.revision);
         rememberHolder(event.from, message.revision);
         fetchIfNeeded(now);
     } else if (message.revision < m_held.revision || (isNear && message.local != m_local)) {
@@ -233,6 +238,19 @@
     m_actions.emplace_back(send_fetch { from, { m_held.revision, m_held.number } });
 }
 
+void replica::probeIfBehind(time_point now)
+{
+    if (m_fetch || m_heard <= m_held.revision || now < m_nextProbe) {
+        return;
+    }
+    // Every holder that is known has refused or was silent. In a data centre with one entry left its bandwidth would
+    // not do for all targets, so any entry is asked; its answer tells whether it has the revision.
+    m_nextProbe = now + m_settings.probePeriod;
+    for (const peer_address &to : m_partners.anywhere(1)) {
+        sendHeartbeat(to);
+    }
+}
+
 void replica::gossip()
 {
     const bool isEntry = m_settings.role == replica_role::entry;
