--- a/include/figcleat/report/window-ring.h
+++ b/include/figcleat/report/window-ring.h
@@ -72,15 +72,13 @@
     [[nodiscard]] bool empty() const;
     [[nodiscard]] std::size_t memoryBytes() const;
 
-    /** Calls `visit(age, counts)` for each window; the age of the unfinished one is 0. */
+    /** Calls `visit(age, counts)` for each window since the last `expire`; the age of the unfinished one is 0. */
     template<typename Visit>
     void forEach(ring_shape shape, time_point now, Visit visit) const
     {
         const auto current = windowAt(shape, now);
         for (const auto &each : m_windows) {
-            if (each.age(current) < shape.windows) {
-                visit(each.age(current), each.counts);
-            }
+            visit(each.age(current), each.counts);
         }
     }
     /** Histograms of the windows with an age below `maxAge`. */
--- a/test/burn-test.cc
+++ b/test/burn-test.cc
@@ -269,6 +269,35 @@
     CHECK_FALSE(signal.fastAlert);
 }
 
+// Guards against a slow alert for an outage that is long over, or for a few bad hours in a good week.
+TEST_CASE("a slow alert needs both the short and the long window", "[burn]")
+{
+    auto over = makeRecorder(1);
+    recordMinutes(over, 0min, 10h, 1, 1);
+    recordMinutes(over, 10h, 17h, 0, 1);
+    const auto past = burnOf(over, start + 17h).services[0].signals[0];
+    CHECK(past.windows[3].rate > 1.0);
+    CHECK_FALSE(past.slowAlert);
+
+    auto recent = makeRecorder(2);
+    recordMinutes(recent, 0min, 60h, 0, 50);
+    recordMinutes(recent, 60h, 66h, 1, 49);
+    const auto now = burnOf(recent, start + 66h - 1min).services[0].signals[0];
+    CHECK(now.windows[2].rate == Approx(2.0));
+    CHECK(now.windows[3].rate < 1.0);
+    CHECK_FALSE(now.slowAlert);
+}
+
+// Guards against a clock that goes back and would add to a window that other windows follow.
+TEST_CASE("a sample older than the newest window is counted and left out", "[burn]")
+{
+    auto recorder = makeRecorder(1);
+    recorder.record(start + 31min, makeSample("clinics", true));
+    recorder.record(start, makeSample("clinics", true));
+    CHECK(recorder.losses().lateSamples == 1);
+    CHECK(requestsIn(mergeOne(recorder, start + 31min)) == 1);
+}
+
 TEST_CASE("a rate at the threshold is no alert, and no requests burn nothing", "[burn]")
 {
     CHECK(burnRate(0, 0, 0.99) == 0);
@@ -281,6 +310,8 @@
     const auto report = burnOf(atLimit, start + 9min, config);
     CHECK(report.services[0].signals[0].windows[3].rate == 1.0);
     CHECK_FALSE(report.services[0].signals[0].slowAlert);
+    CHECK(report.services[0].plots[0].rates.size() == 72);
+    CHECK(report.services[0].plots[0].rates.back() == 1.0);
 }
 
 // Guards against a histogram whose bins are shifted, which would report wrong latencies.
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -1,7 +1,11 @@
 #include "figcleat/settings/daemon-settings.h"
+#include "figcleat/settings/toml-reader.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
 #include <spdlog/fmt/fmt.h>
+#include <unistd.h>
 
 using namespace figcleat;
 using namespace std::chrono_literals;
@@ -181,6 +185,41 @@
     CHECK(problemsOf(text) == strings { "17 configuration_invalid target.cold.max_requests" });
 }
 
+// Guards against a process that cannot bind its listeners, or that dials itself.
+TEST_CASE("listeners are distinct and a process is not its own peer", "[settings]")
+{
+    auto text = common + entry;
+    text.replace(text.find("7401"), 4, "7301");
+    CHECK(problemsOf(text) == strings { "9 configuration_invalid entry.operator_address" });
+    text = common + entry;
+    text.replace(text.find("7103"), 4, "7101");
+    CHECK(problemsOf(text) == strings { "6 configuration_invalid mailbox.peers" });
+    text.replace(text.rfind("7101"), 4, "7102");
+    CHECK(problemsOf(text) == strings { "6 configuration_invalid mailbox.peers" });
+    text = common + target + limits;
+    text.erase(text.find("peers"), text.find("[target]") - text.find("peers"));
+    CHECK(problemsOf(text) == strings { "4 settings_missing_value mailbox.peers" });
+}
+
+// Guards against a file or a list that takes memory without bound.
+TEST_CASE("files and lists have a largest size", "[settings]")
+{
+    std::string peers;
+    for (int i = 0; i <= 1024; ++i) {
+        peers += fmt::format("\"10.0.{}.{}:7101\", ", i / 256, i % 256);
+    }
+    auto text = common + entry;
+    text.replace(text.find("\"127.0.0.1:7102\""), 16, peers + "\"127.0.0.1:7102\"");
+    CHECK(problemsOf(text) == strings { "6 settings_out_of_range mailbox.peers" });
+
+    const std::string path = fmt::format("{}/settings-test-{}.toml", P_tmpdir, getpid());
+    std::ofstream(path) << common << entry << std::string(maxSettingsBytes, '#');
+    const auto read = loadDaemonSettings(path);
+    std::remove(path.c_str());
+    REQUIRE_FALSE(read.has_value());
+    CHECK(read.error().front().code == result_code::settings_out_of_range);
+}
+
 TEST_CASE("a syntax error and an unreadable file have their own codes", "[settings]")
 {
     CHECK(problemsOf("[vm]\nname = \n") == strings { "2 settings_syntax " });
