Queue requests fairly and pace retries in the request pipeline

Cause: a request without a target with room was tried again on a timer of its own, so a large workspace could take every place that became free, and retries had no budget. Change: one fair queue for each service and model; retries take from the retry budget, and a spent budget delays them. The claim of a target's room begins with the claim on the key. Status shows the revision in force at each entry.

--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -28,12 +28,6 @@
     void drain();
 
 private:
-    struct known_peer
-    {
-        peer_state state;
-        revision_number revision;
-    };
-
     entry_node(daemon_settings settings, loop &eventLoop, const clock &time, std::uint64_t random);
     [[nodiscard]] expected<void> start(std::uint64_t random);
 
@@ -60,7 +54,6 @@
     void on(const peer_address &from, const usage_answer &message);
     void on(const peer_address &from, const membership_request &message);
     void on(const peer_address &from, const consensus::raft_message &message);
-    void on(const peer_address &from, const distribution::heartbeat &message);
     template<typename Message>
     void on(const peer_address &from, const Message &message);
 
@@ -105,7 +98,7 @@
     std::unordered_map<std::uint64_t, decision_function> m_decisions;
     std::unordered_map<std::uint64_t, decision_function> m_membershipChanges;
     std::unordered_map<std::uint64_t, usage_function> m_usageReads;
-    std::map<peer_address, known_peer> m_peers;
+    std::map<peer_address, peer_state> m_peers;
     std::map<peer_address, target_id> m_targets;
     std::map<result_code, std::uint64_t> m_ended;
     std::optional<time_point> m_drainDeadline;
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -20,10 +20,12 @@
     bool isVoter = false;
     /** Mailbox of the leader that this voter knows; empty if none. */
     peer_address leader;
+    /** Configuration in force there; for the status table only. */
+    revision_number revision;
     /** Requests in progress, for the status table. */
     std::uint32_t requestsInProgress = 0;
 
-    MSGPACK_DEFINE(vm, dataCentre, isVoter, leader, requestsInProgress)
+    MSGPACK_DEFINE(vm, dataCentre, isVoter, leader, revision, requestsInProgress)
 };
 
 /** Asks a voter to put a command into the log. */
--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -4,10 +4,14 @@
 #include "figcleat/request/account.h"
 #include "figcleat/request/answer-stream.h"
 #include "figcleat/request/events.h"
+#include "figcleat/request/fair-queue.h"
 #include "figcleat/request/identify.h"
+#include "figcleat/request/retry-budget.h"
 #include "figcleat/request/verdict.h"
 
+#include <map>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -21,8 +25,10 @@
 inline constexpr duration deadlineGrace = std::chrono::milliseconds(100);
 
 enum class phase : std::uint8_t {
-    /** Waits for a target with room. */
-    waiting,
+    /** In the queue of its service until a target has room. */
+    queued,
+    /** Waits before it is queued again. */
+    backing_off,
     /** Waits for the log to grant the claim on its key. */
     claiming,
     /** At a target. */
@@ -49,11 +55,11 @@
     /** 0 once the caller is gone. */
     exchange_id exchange;
     identified_call call;
-    phase now = phase::waiting;
+    phase now = phase::queued;
     time_point arrived;
-    /** When a waiting request tries again, or the phase times out. */
+    /** When the request is queued again, or its phase times out. */
     time_point wakeAt;
-    /** Times that it went back to waiting. */
+    /** Times that it was placed again. */
     std::uint32_t retries = 0;
     std::set<target_id> refusedBy;
     placed_target target;
@@ -103,6 +109,8 @@
     [[nodiscard]] const placement::table &targets() const;
 
 private:
+    /** Requests that the same targets can serve wait in one queue. */
+    using queue_key = std::pair<service_id, model_id>;
     using request_map = std::unordered_map<std::uint64_t, request_in_progress>;
 
     void on(const call_arrived &event);
@@ -119,10 +127,17 @@
     void on(const tick &event);
 
     // limit
+    [[nodiscard]] const workspace *findWorkspace(const workspace_id &name) const;
     [[nodiscard]] result_code admit(const identified_call &call) const;
+    void enqueue(request_in_progress &request);
+    void serveQueue(const queue_key &key);
+    void serveAllQueues();
+    void carryOut(const std::vector<queue_action> &actions);
+    void backOff(request_in_progress &request, result_code why);
+    void retry(request_in_progress &request);
     // place
-    void place(request_in_progress &request);
-    void wait(request_in_progress &request, result_code why);
+    [[nodiscard]] std::optional<placement::target_choice> choose(request_in_progress &request);
+    void startAttempt(request_in_progress &request, const placement::target_choice &chosen);
     void onTargetLost(const placement::lost_target &lost);
     // dispatch
     void sendDispatch(request_in_progress &request);
@@ -154,6 +169,9 @@
     placement::table m_targets;
     placement::policy m_policy;
     usage_account m_usage;
+    std::map<queue_key, fair_queue> m_queues;
+    retry_budget m_retryBudget;
+    retry_backoff m_backoff;
     std::mt19937_64 m_random;
     request_map m_requests;
     std::unordered_map<attempt_id, std::uint64_t> m_byAttempt;
@@ -165,6 +183,8 @@
     std::uint64_t m_lastProposal = 0;
     std::uint64_t m_usageProposal = 0;
     std::uint64_t m_usageSequence = 0;
+    /** An attempt ended in this step, so a queued request may find room. */
+    bool m_roomFreed = false;
     bool m_stopping = false;
     bool m_drained = false;
     time_point m_now;
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -145,18 +145,12 @@
 
 void entry_node::on(const peer_address &from, const peer_state &message)
 {
-    m_peers[from].state = message;
+    m_peers[from] = message;
     if (message.isVoter) {
         m_proposer.onVoter(from, message.leader);
     }
 }
 
-void entry_node::on(const peer_address &from, const distribution::heartbeat &message)
-{
-    m_peers[from].revision = message.revision;
-    step(distribution::replica_event { distribution::heartbeat_received { from, message } });
-}
-
 void entry_node::on(const peer_address &from, const proposal &message)
 {
     if (!m_control) {
@@ -239,6 +233,7 @@
     state.dataCentre = m_settings.dataCentre;
     state.isVoter = m_control != nullptr;
     state.leader = m_control ? leaderHint() : peer_address {};
+    state.revision = m_replica.configuration().revision;
     state.requestsInProgress = static_cast<std::uint32_t>(m_pipeline.requestsInProgress());
     for (const auto &peer : m_settings.mailbox.peers) {
         m_messenger->send(peer, state);
--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -123,15 +123,15 @@
 {
     nlohmann::json list = nlohmann::json::array();
     for (const auto &[address, peer] : m_peers) {
-        if (peer.state.vm.empty()) {
+        if (peer.vm.empty()) {
             continue;
         }
-        list.push_back({ { "vm", peer.state.vm.value },
+        list.push_back({ { "vm", peer.vm.value },
                          { "address", address.value },
-                         { "data_centre", peer.state.dataCentre.value },
+                         { "data_centre", peer.dataCentre.value },
                          { "revision", peer.revision.value },
-                         { "voter", peer.state.isVoter },
-                         { "requests_in_progress", peer.state.requestsInProgress },
+                         { "voter", peer.isVoter },
+                         { "requests_in_progress", peer.requestsInProgress },
                          { "age_ms", toMillis(m_messenger->silenceOf(address).value_or(duration(-1))) } });
     }
     return list;
--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -38,13 +38,14 @@
         if (event.code != result_code::ok) {
             end(request, result_code::agreement_unavailable);
         } else {
-            wait(request, request.lastRefusal);
+            backOff(request, request.lastRefusal);
         }
         return;
     case phase::settling:
         onSettleDecided(request);
         return;
-    case phase::waiting:
+    case phase::queued:
+    case phase::backing_off:
     case phase::dispatched:
     case phase::resolving:
         return;
@@ -70,6 +71,7 @@
         sendDispatch(request);
         return;
     }
+    forgetAttempt(request);
     if (result.status == agreed::claim_status::settled) {
         replyRecorded(request, result.record);
         return;
--- a/src/request/dispatch.cc
+++ b/src/request/dispatch.cc
@@ -21,8 +21,6 @@
     request.now = phase::dispatched;
     request.stream.restart(request.attempt);
     ++request.attempts.handedOver;
-    m_byAttempt.emplace(request.attempt, request.number);
-    m_targets.began(request.target.name, request.target.incarnation, request.call.cost);
     logFor(part::request)
         ->debug("Request {} goes to target {} as attempt {}.", request.call.id.value, request.target.name.value,
                 request.attempt.number.value);
@@ -33,6 +31,7 @@
 {
     if (m_byAttempt.erase(request.attempt) > 0) {
         m_targets.ended(request.target.name, request.target.incarnation, request.call.cost);
+        m_roomFreed = true;
     }
 }
 
@@ -66,7 +65,7 @@
                    request->call.deadline - m_now);
         return;
     }
-    wait(*request, event.code);
+    backOff(*request, event.code);
 }
 
 void pipeline::onAttemptLost(request_in_progress &request, result_code code)
@@ -77,7 +76,7 @@
         end(request, code);
         return;
     }
-    wait(request, code);
+    backOff(request, code);
 }
 
 void pipeline::onDeadline(request_in_progress &request)
--- a/src/request/pipeline.cc
+++ b/src/request/pipeline.cc
@@ -4,7 +4,6 @@
 #include "figcleat/core/log.h"
 #include "figcleat/request/replies.h"
 
-#include <algorithm>
 #include <fmt/format.h>
 
 namespace figcleat::request
@@ -15,6 +14,7 @@
     , m_targets(placement::table_settings { m_options.dataCentre })
     , m_policy(placement::two_choices_by_spare {})
     , m_usage(m_options.entry)
+    , m_backoff(m_options.seed)
     , m_random(m_options.seed)
 {
 }
@@ -23,6 +23,9 @@
 {
     m_now = now;
     std::visit([this](const auto &happened) { on(happened); }, event);
+    if (std::exchange(m_roomFreed, false)) {
+        serveAllQueues();
+    }
     eraseEnded();
     return std::exchange(m_actions, {});
 }
@@ -42,20 +45,6 @@
     m_actions.push_back(std::move(action));
 }
 
-result_code pipeline::admit(const identified_call &call) const
-{
-    if (m_requests.size() >= m_options.maxRequestsInProgress) {
-        return result_code::queue_full;
-    }
-    const auto found = m_perWorkspace.find(call.workspace);
-    const std::uint32_t inProgress = found == m_perWorkspace.end() ? 0 : found->second;
-    const auto known = std::find_if(m_config->workspaces.begin(), m_config->workspaces.end(),
-                                    [&call](const workspace &candidate) { return candidate.name == call.workspace; });
-    return known != m_config->workspaces.end() && inProgress >= known->maxRequestsInProgress
-        ? result_code::workspace_limit
-        : result_code::ok;
-}
-
 void pipeline::on(const call_arrived &event)
 {
     const request_id fallback { fmt::format("{:016x}-{}", m_options.entry.value, ++m_lastRequest) };
@@ -83,7 +72,8 @@
     request.arrived = m_now;
     m_byExchange.emplace(event.exchange, m_lastRequest);
     ++m_perWorkspace[request.call.workspace];
-    place(request);
+    m_retryBudget.firstAttempt(m_now);
+    enqueue(request);
 }
 
 void pipeline::on(const caller_gone &event)
@@ -123,6 +113,7 @@
         }
     }
     m_targets.setDataCentresOut(std::move(out));
+    serveAllQueues();
 }
 
 void pipeline::on(const stop_requested & /*event*/)
@@ -141,10 +132,14 @@
         }
         if (m_now >= request.call.deadline + deadlineGrace) {
             onDeadline(request);
-        } else if (request.now != phase::dispatched && m_now >= request.wakeAt) {
+        } else if (m_now >= request.wakeAt) {
             onPhaseTimeout(request);
         }
     }
+    for (auto &[key, queue] : m_queues) {
+        carryOut(queue.step(queue_tick {}, m_now));
+    }
+    serveAllQueues();
     if (auto batch = m_usage.due(m_now)) {
         m_usageSequence = batch->sequence;
         m_usageProposal = ++m_lastProposal;
@@ -159,8 +154,8 @@
 void pipeline::onPhaseTimeout(request_in_progress &request)
 {
     switch (request.now) {
-    case phase::waiting:
-        place(request);
+    case phase::backing_off:
+        retry(request);
         return;
     case phase::claiming:
     case phase::releasing:
@@ -172,6 +167,7 @@
     case phase::settling:
         onSettleDecided(request);
         return;
+    case phase::queued:
     case phase::dispatched:
         return;
     }
@@ -219,6 +215,9 @@
     }
     emit(request_ended { request.call.id, request.call.workspace, request.call.service, told, m_now - request.arrived,
                          request.firstByte, request.attempts.handedOver });
+    if (request.now == phase::queued) {
+        m_queues[{ request.call.service, request.call.model }].step(withdraw { { request.number } }, m_now);
+    }
     forgetAttempt(request);
     m_byExchange.erase(request.exchange);
     m_byProposal.erase(request.proposal);
--- a/src/request/place.cc
+++ b/src/request/place.cc
@@ -1,26 +1,10 @@
-#include "figcleat/core/overloaded.h"
 #include "figcleat/request/pipeline.h"
 
-/** Filter `place`: chooses a target from hints and waits where there is none with room. */
+/** Filter `place`: chooses a target from hints. */
 namespace figcleat::request
 {
 
-namespace
-{
-
-constexpr duration firstBackoff = std::chrono::milliseconds(10);
-constexpr duration longestBackoff = std::chrono::milliseconds(500);
-
-/** Full jitter: retries of many requests spread over the whole interval. */
-duration backoff(std::uint32_t retries, std::mt19937_64 &random)
-{
-    const duration ceiling = std::min(firstBackoff * (1U << std::min(retries, 8U)), longestBackoff);
-    return duration(std::uniform_int_distribution<std::int64_t>(1, ceiling.count())(random));
-}
-
-} // namespace
-
-void pipeline::place(request_in_progress &request)
+std::optional<placement::target_choice> pipeline::choose(request_in_progress &request)
 {
     placement::placement_request wanted;
     wanted.service = request.call.service;
@@ -32,12 +16,19 @@
     const auto chosen = placement::choose(m_targets, wanted, m_policy, m_random, m_now);
     const auto *target = chosen ? std::get_if<placement::target_choice>(&*chosen) : nullptr;
     if (target == nullptr) {
+        // Each target may be asked again once all have refused.
         request.refusedBy.clear();
-        wait(request, result_code::no_target);
-        return;
+        return std::nullopt;
     }
-    request.target = { target->target, target->address, target->incarnation };
+    return target->hasRoom ? std::optional(*target) : std::nullopt;
+}
+
+void pipeline::startAttempt(request_in_progress &request, const placement::target_choice &chosen)
+{
+    request.target = { chosen.target, chosen.address, chosen.incarnation };
     request.attempt = { m_options.entry, { ++m_lastAttempt } };
+    m_byAttempt.emplace(request.attempt, request.number);
+    m_targets.began(request.target.name, request.target.incarnation, request.call.cost);
     if (!request.call.key) {
         sendDispatch(request);
         return;
@@ -53,16 +44,6 @@
     proposeFor(request, phase::claiming, std::move(claim), request.call.deadline - m_now);
 }
 
-void pipeline::wait(request_in_progress &request, result_code why)
-{
-    request.now = phase::waiting;
-    request.fence = {};
-    if (describe(why).ran == execution::not_run) {
-        request.lastRefusal = why;
-    }
-    request.wakeAt = m_now + backoff(request.retries++, m_random);
-}
-
 void pipeline::onTargetLost(const placement::lost_target &lost)
 {
     for (auto &[number, request] : m_requests) {
@@ -79,6 +60,7 @@
     if (const auto lost = m_targets.heard(event.announced, event.from, m_now)) {
         onTargetLost(*lost);
     }
+    serveAllQueues();
 }
 
 } // namespace figcleat::request
