--- a/include/figcleat/consensus/log-store.h
+++ b/include/figcleat/consensus/log-store.h
@@ -42,7 +42,8 @@
  *     store->write(action); // for each persist
  *     store->sync();        // then step(synced { lastSequence })
  *
- * After an error from `write` the store is as before the call; after one from `sync` it has to be reopened.
+ * After `disk_full` from `write` the folder holds what it held before, and at most the vote or snapshot of that call.
+ * After any other error the store has to be reopened.
  */
 class log_store
 {
--- a/include/figcleat/consensus/raft.h
+++ b/include/figcleat/consensus/raft.h
@@ -241,12 +241,19 @@
  * Replicated log of one voter, without sockets, files or clocks.
  *
  * First start: the voter with the lowest address asks all listed voters whether their folders are empty; when all
- * say so, it asks each to promise, durably and once, to belong to its cluster. With every promise it writes the first
+ * say so, it asks each for a durable promise to belong to its cluster. With every promise it writes the first
  * membership, which names each address with its identity, and leads term 1. A voter without a membership votes only
- * for candidates of the cluster that it promised to join. A lost folder comes back with a new identity, is added as a
- * learner, and takes its seat after the old identity was removed.
+ * for candidates of the cluster that it promised to join, and one with a log never changes clusters.
  *
- *     raft log(settings, store.restored(), clock.now());
+ * A lost folder comes back with a new identity. The leader adds it as a learner, removes the old identity when the
+ * learner has caught up and the old one is silent, and then makes the learner a voter: three changes, each of one
+ * voter at most.
+ *
+ * A restarted voter neither votes nor campaigns until a leader has brought it up to date or enough members for a
+ * quorum have said that they know of no later vote or acknowledgement. That finds an older copy of a folder as long as
+ * a process that heard from the newer one is among them.
+ *
+ *     raft log(settings, store.takeRestored(), clock.now());
  *     for (const auto &action : log.step(propose { 1, bytes }, clock.now())) { ... }
  */
 class raft
--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -110,6 +110,10 @@
 {
     // A voter that hears the leader ignores candidates, so that one with a bad connection cannot depose it.
     const bool hearsLeader = m_leader && m_now - m_leaderContact < electionTimeoutMin;
+    if (m_standingUnknown) {
+        // The candidate may have joined after the last membership that this voter knows.
+        sendTo(from, standing_query { headerTo(message.header.sender) });
+    }
     const bool refuses = m_role == raft_role::leader || hearsLeader || m_standingUnknown || m_founding;
     if (message.preVote) {
         sendTo(from,
@@ -166,7 +170,7 @@
     }
     m_nextStandingQuery = m_now + heartbeatInterval;
     for (const auto &one : m_log.members().members) {
-        if (one.role == member_role::voter && one.identity != m_self) {
+        if (one.identity.value != 0 && one.identity != m_self) {
             sendTo(one.address, standing_query { headerTo(one.identity) });
         }
     }
@@ -179,13 +183,14 @@
     sendTo(from, standing_answer { headerTo(message.header.sender), standing.term, standing.index });
 }
 
-void raft_core::on(const peer_address &from, const standing_answer &message)
+/** Learners count as well: what matters is who might have heard from this voter. */
+void raft_core::on(const peer_address & /*from*/, const standing_answer &message)
 {
     if (message.knownTerm > m_state.term || (message.knownTerm == m_state.term && message.knownIndex > m_log.last())) {
         halt(result_code::identity_mismatch, "the data folder is older than what this voter acknowledged");
         return;
     }
-    if (!m_standingUnknown || m_log.members().find(from, message.header.sender) == nullptr) {
+    if (!m_standingUnknown) {
         return;
     }
     m_standingAnswers.insert(message.header.sender);
--- a/src/consensus/genesis.cc
+++ b/src/consensus/genesis.cc
@@ -20,7 +20,9 @@
 
 void raft_core::tickJoining()
 {
-    if (!m_log.members().members.empty() || m_now < m_nextJoin) {
+    // The entry that made this a learner may have been lost with its leader, so a learner without one asks again.
+    const bool hearsLeader = m_leader && m_now - m_leaderContact < electionTimeoutMax;
+    if (isSelfVoter() || hearsLeader || m_now < m_nextJoin) {
         return;
     }
     m_nextJoin = m_now + joinInterval;
@@ -29,7 +31,7 @@
             sendTo(one, join_request { headerTo({}) });
         }
     }
-    if (founderOf(m_settings.voters) != m_settings.self) {
+    if (founderOf(m_settings.voters) != m_settings.self || !m_log.members().members.empty()) {
         return;
     }
     const bool hasPromised = m_syncedState == m_state && m_state.cluster.value == m_self.value;
@@ -51,10 +53,14 @@
 void raft_core::onGenesis(const peer_address &from, const genesis_request &message)
 {
     const bool isEmpty = m_log.members().members.empty() && m_log.last().value == 0;
-    const bool isFree = m_state.cluster.value == 0 || m_state.cluster.value == message.header.sender.value;
+    // A founder that lost its folder before any voter had a log may ask again under its new identity: a cluster commits
+    // only with a majority that holds its log, and a voter with a log never changes clusters.
+    // One that has voted in a later term keeps to its cluster, as that vote must not be forgotten.
+    const bool isFree = m_state.term.value <= 1;
     const bool granted = isEmpty && isFree && from == founderOf(m_settings.voters);
-    if (granted && message.promise && m_state.cluster.value == 0) {
+    if (granted && message.promise && m_state.cluster.value != message.header.sender.value) {
         m_state = { { 1 }, message.header.sender, { message.header.sender.value } };
+        m_leader.reset();
         saveState();
     }
     sendWhenSynced(from, genesis_answer { headerTo(message.header.sender), message.promise, granted });
--- a/src/consensus/log-records.cc
+++ b/src/consensus/log-records.cc
@@ -101,11 +101,11 @@
 
 } // namespace
 
-std::string makeRecord(record_kind kind, std::uint64_t syncedBytes, std::string_view payload)
+std::string makeRecord(record_kind kind, std::uint64_t syncedBytes, std::string_view payload, std::uint8_t version)
 {
     std::string record;
     record.reserve(headerBytes + payload.size());
-    record += static_cast<char>(recordVersion);
+    record += static_cast<char>(version);
     record += static_cast<char>(kind);
     putNumber(record, payload.size());
     putNumber(record, syncedBytes);
--- a/src/consensus/log-records.h
+++ b/src/consensus/log-records.h
@@ -27,7 +27,8 @@
  *
  * The synced size tells a torn tail from damage: a record before the synced size of a later one was durable once.
  */
-[[nodiscard]] std::string makeRecord(record_kind kind, std::uint64_t syncedBytes, std::string_view payload);
+[[nodiscard]] std::string makeRecord(record_kind kind, std::uint64_t syncedBytes, std::string_view payload,
+                                     std::uint8_t version = recordVersion);
 
 /** Entries of one `persist`; they are written and lost together. */
 struct batch_record
--- a/src/consensus/log-store.cc
+++ b/src/consensus/log-store.cc
@@ -211,7 +211,8 @@
                     .and_then([&] { return m_folder->rename(fresh, name); })
                     .and_then([&] { return m_folder->syncFolder(); });
     if (!done) {
-        (void)m_folder->remove(fresh);
+        // Only before the rename is it certain that the old file is still in place.
+        m_failed = !m_folder->remove(fresh).has_value() || done.error().code != result_code::disk_full;
     }
     return done;
 }
--- a/src/consensus/raft-core.cc
+++ b/src/consensus/raft-core.cc
@@ -116,7 +116,8 @@
     if (header.receiver != m_self || header.cluster.value == 0) {
         return false;
     }
-    if (header.cluster != m_state.cluster && isFromLeader(event.message) && m_log.last().value == 0) {
+    const bool mayChange = m_state.cluster.value == 0 || (m_state.term.value <= 1 && m_log.last().value == 0);
+    if (header.cluster != m_state.cluster && isFromLeader(event.message) && mayChange) {
         adoptCluster(header);
     }
     return header.cluster == m_state.cluster;
@@ -124,7 +125,7 @@
 
 void raft_core::adoptCluster(const message_header &header)
 {
-    // Only a leader whose membership holds this identity addresses it, and nothing was acknowledged elsewhere.
+    // Only a leader whose membership holds this identity addresses it, and nothing was acknowledged or voted elsewhere.
     m_state = { header.term, {}, header.cluster };
     saveState();
 }
