--- a/test/raft-harness.h
+++ b/test/raft-harness.h
@@ -6,6 +6,7 @@
 #include "figcleat/wire/codec.h"
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -327,10 +328,14 @@
         }
     }
     std::uint64_t proposeAt(std::size_t i)
+    {
+        return proposeAt(i, m_random() % 100);
+    }
+    std::uint64_t proposeAt(std::size_t i, std::size_t padding)
     {
         const auto id = ++m_lastId;
         m_issued.insert(id);
-        give(i, propose { id, encode(id) + std::string(m_random() % 100, 'x') });
+        give(i, propose { id, encode(id) + std::string(padding, 'x') });
         return id;
     }
     std::uint64_t readAt(std::size_t i)
@@ -358,7 +363,12 @@
         }
         // Copied, since an action may restart the node.
         const auto life = one.life;
-        for (const auto &action : one.log->step(event, m_now)) {
+        const auto started = onStep ? processorTime() : 0;
+        const auto actions = one.log->step(event, m_now);
+        if (onStep) {
+            onStep(i, processorTime() - started);
+        }
+        for (const auto &action : actions) {
             if (one.life == life) {
                 std::visit([&](const auto &what) { perform(i, what); }, action);
             }
@@ -395,6 +405,8 @@
     }
     /** Called with each message that is sent. */
     std::function<void(std::size_t, const send &)> onSend;
+    /** Called with the processor time of each step, in nanoseconds. */
+    std::function<void(std::size_t, std::uint64_t)> onStep;
     std::optional<halted> lastHalt;
     /** Set by tests that put back an older folder; a voter then stays halted. */
     bool expectMismatch = false;
@@ -419,6 +431,12 @@
         term_number term;
     };
 
+    static std::uint64_t processorTime()
+    {
+        timespec used {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+        return static_cast<std::uint64_t>(used.tv_sec) * 1000000000U + static_cast<std::uint64_t>(used.tv_nsec);
+    }
     static duration millis(std::uint64_t count)
     {
         return std::chrono::milliseconds(count);
