--- a/include/figcleat/target/gate.h
+++ b/include/figcleat/target/gate.h
@@ -64,6 +64,8 @@
 struct engine_restarted
 {
     incarnation_id incarnation;
+    /** Attempts that may have been started at the new engine before the restart was noticed. They keep their slots. */
+    std::vector<attempt_id> maySurvive {};
 };
 
 struct limits_changed
--- a/include/figcleat/target/latency-baseline.h
+++ b/include/figcleat/target/latency-baseline.h
@@ -38,7 +38,7 @@
 {
 public:
     explicit latency_baseline(baseline_settings settings = {});
-    /** Sets an expectation for when no sample is known; it never raises an alarm. */
+    /** Sets what counts as normal while nothing is known; faster samples replace it at once, slower ones slowly. */
     void expect(duration perUnit);
     /** Judges a sample and learns from it, an eighth as fast if `learnSlowly`. */
     reading observe(duration sample, double units, bool learnSlowly);
@@ -54,6 +54,7 @@
 
     baseline_settings m_settings;
     bool m_known = false;
+    bool m_anchored = false;
     double m_mean = 0;
     double m_variance = 0;
     std::uint32_t m_samples = 0;
--- a/src/target/gate.cc
+++ b/src/target/gate.cc
@@ -311,14 +311,21 @@
         return;
     }
     m_engine = event.incarnation;
-    while (!m_slots.empty()) {
-        const auto found = m_slots.begin();
+    std::vector<attempt_id> lost;
+    for (const auto &[attempt, work] : m_slots) {
+        if (std::ranges::find(event.maySurvive, attempt) == event.maySurvive.end()) {
+            lost.push_back(attempt);
+        }
+    }
+    std::ranges::sort(lost);
+    for (const auto &attempt : lost) {
+        const auto found = m_slots.find(attempt);
         auto &work = found->second;
         const auto code = work.stopped.value_or(result_code::engine_failed);
         if (!work.stopped) {
-            m_actions.emplace_back(forward_finish { work.from, { found->first, code, work.pieces, {} } });
+            m_actions.emplace_back(forward_finish { work.from, { attempt, code, work.pieces, {} } });
         }
-        m_attempts.finish(found->first, code, work.httpStatus, {}, m_now);
+        m_attempts.finish(attempt, code, work.httpStatus, {}, m_now);
         release(found);
     }
     m_level.fall();
--- a/src/target/latency-baseline.cc
+++ b/src/target/latency-baseline.cc
@@ -30,6 +30,7 @@
         return;
     }
     m_known = true;
+    m_anchored = true;
     m_mean = logOf(perUnit, 1.0);
 }
 
@@ -72,21 +73,26 @@
 
 void latency_baseline::learn(double excess, bool slowly)
 {
-    // The first sample replaces the configured expectation, so that the history holds only what was measured.
-    if (m_samples++ == 0) {
-        m_mean += excess;
-        return;
+    // A configured expectation gives way at once to what is faster only: the first samples of an engine in a cold
+    // start must not become the norm.
+    if (m_anchored && excess < 0) {
+        m_anchored = false;
+        m_samples = 0;
     }
     const double steady = 1.0 / m_settings.window;
-    double weight = std::max(steady, 1.0 / m_samples);
-    if (m_samples <= m_settings.minSamples) {
+    double weight = slowly ? steady / 8 : steady;
+    ++m_samples;
+    if (m_samples <= m_settings.minSamples && !m_anchored) {
+        weight = 1.0 / m_samples;
         m_mean += weight * excess;
     } else {
-        weight = slowly ? steady / 8 : steady;
         m_mean += weight * std::min(excess, normalExcess);
     }
-    const double bounded = std::clamp(excess, -std::log(m_settings.alarmFactor), std::log(m_settings.alarmFactor));
-    m_variance += weight * (bounded * bounded - m_variance);
+    if (m_samples > 1) {
+        const double most = std::log(m_settings.alarmFactor);
+        const double bounded = std::clamp(excess, -most, most);
+        m_variance += weight * (bounded * bounded - m_variance);
+    }
 }
 
 } // namespace figcleat::target
