--- /dev/null
+++ b/test/group-random-test.cc
@@ -0,0 +1,50 @@
+#include "group-harness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace figcleat;
+using namespace figcleat::group;
+
+namespace
+{
+
+harness::run_result runSeed(std::uint64_t seed, harness::protocol kind)
+{
+    harness::run_settings settings;
+    settings.seed = seed;
+    settings.ranks = static_cast<rank_number>(2 + seed % 5);
+    settings.kind = kind;
+    return harness::group_run(settings).run();
+}
+
+} // namespace
+
+// Guards against two maps in one step under any mix of faults, and against a group that stays stuck after them.
+TEST_CASE("ranks use one map in every step under random faults", "[group]")
+{
+    std::uint64_t completed = 0;
+    std::uint64_t abandoned = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        const auto result = runSeed(seed, harness::protocol::two_phase);
+        CHECK(result.violation.empty());
+        CHECK(result.recovered);
+        completed += result.completed;
+        abandoned += result.abandoned;
+    }
+    CHECK(completed > 0);
+    CHECK(abandoned > 0);
+}
+
+// Guards against a random run that is too tame to find a fault: a controller that only sends the map must be caught.
+TEST_CASE("the random run catches a controller that sends the map to all ranks", "[group]")
+{
+    spdlog::level::level_enum before = logFor(part::invariant)->level();
+    logFor(part::invariant)->set_level(spdlog::level::off);
+    int caught = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        caught += runSeed(seed, harness::protocol::plain).violation.empty() ? 0 : 1;
+    }
+    logFor(part::invariant)->set_level(before);
+    CHECK(caught == 20);
+}
--- /dev/null
+++ b/test/map-switch-test.cc
@@ -0,0 +1,273 @@
+#include "figcleat/core/invariant.h"
+#include "figcleat/core/log.h"
+#include "figcleat/group/step-witness.h"
+#include "figcleat/group/switch-controller.h"
+#include "figcleat/wire/codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace figcleat;
+using namespace figcleat::group;
+
+namespace
+{
+
+template<typename T, typename Action>
+std::vector<T> only(const std::vector<Action> &actions)
+{
+    std::vector<T> found;
+    for (const auto &action : actions) {
+        if (const auto *held = std::get_if<T>(&action)) {
+            found.push_back(*held);
+        }
+    }
+    return found;
+}
+
+expert_map mapOf(std::uint64_t fence, std::uint64_t version, rank_number holder)
+{
+    return { { { fence }, { version } }, 2, { { { { holder } } } } };
+}
+
+/** Two gates that reach each other at once; messages to a rank in `down` are lost. */
+struct pair_of_gates
+{
+    time_point now { std::chrono::hours(1) };
+    std::vector<rank_gate> gates;
+    std::set<rank_number> down;
+    std::vector<permit_step> permits;
+    std::vector<release_map> releases;
+    std::vector<refused_message> refusals;
+
+    pair_of_gates()
+    {
+        for (rank_number rank = 0; rank < 2; ++rank) {
+            gates.push_back(makeGate(rank, 10U + rank));
+            feed(rank, engine_started { { 20U + rank }, sha256("default map") });
+        }
+        tick();
+        tick();
+    }
+    static rank_gate makeGate(rank_number rank, std::uint64_t incarnation)
+    {
+        gate_settings settings;
+        settings.rank = rank;
+        settings.ranks = 2;
+        settings.incarnation = { incarnation };
+        return rank_gate(settings);
+    }
+    void feed(rank_number rank, const gate_event &event)
+    {
+        for (const auto &action : gates[rank].step(event, now)) {
+            if (const auto *load = std::get_if<load_map>(&action)) {
+                feed(rank, engine_loaded { load->content });
+            } else if (const auto *send = std::get_if<send_peer>(&action); send && !down.contains(send->to)) {
+                feed(send->to, from_peer { rank, gates[rank].status().incarnation, send->message });
+            } else if (const auto *permit = std::get_if<permit_step>(&action)) {
+                permits.push_back(*permit);
+            } else if (const auto *release = std::get_if<release_map>(&action)) {
+                releases.push_back(*release);
+            } else if (const auto *refused = std::get_if<refused_message>(&action)) {
+                refusals.push_back(*refused);
+            }
+        }
+    }
+    void tick(duration after = std::chrono::milliseconds(100))
+    {
+        now += after;
+        feed(0, gate_tick {});
+        feed(1, gate_tick {});
+    }
+    void order(const controller_message &message)
+    {
+        feed(0, from_controller { message });
+        feed(1, from_controller { message });
+    }
+    void ask(std::uint64_t step)
+    {
+        feed(0, step_requested { { step } });
+        feed(1, step_requested { { step } });
+    }
+    void holdAt(const expert_map &map, switch_id from, std::uint64_t step)
+    {
+        order(prepare { map.id.fence, from, map });
+        order(hold { map.id.fence, map.id, { step } });
+    }
+    void switchTo(const expert_map &map, switch_id from, std::uint64_t step)
+    {
+        holdAt(map, from, step);
+        order(decide { map.id.fence, { map.id, contentDigest(map), { step }, true } });
+    }
+    /** Runs the first step with the first map. */
+    expert_map install()
+    {
+        const auto map = mapOf(1, 1, 0);
+        switchTo(map, {}, 1);
+        ask(1);
+        permits.clear();
+        return map;
+    }
+};
+
+} // namespace
+
+// Guards against a rank that serves with the default map of its engine.
+TEST_CASE("a rank permits no step before it has the group's map", "[group]")
+{
+    pair_of_gates group;
+    group.ask(1);
+    CHECK(group.permits.empty());
+    const auto map = mapOf(1, 1, 0);
+    group.switchTo(map, {}, 1);
+    REQUIRE(group.permits.size() == 2);
+
+    group.gates[1] = pair_of_gates::makeGate(1, 99);
+    group.feed(1, engine_started { { 98 }, sha256("default map") });
+    group.feed(1, step_requested { { 2 } });
+    CHECK(group.permits.size() == 2);
+    group.tick();
+    group.tick();
+    REQUIRE(group.permits.size() == 3);
+    CHECK(group.permits.back().content == contentDigest(map));
+}
+
+// Guards against a rank that passes the switch step with the old map while another uses the new one.
+TEST_CASE("a rank that does not know the decision does not pass the step", "[group]")
+{
+    pair_of_gates group;
+    const auto first = group.install();
+    const auto second = mapOf(1, 2, 1);
+    group.holdAt(second, first.id, 5);
+    group.ask(4);
+    CHECK(group.permits.size() == 2);
+    group.ask(5);
+    CHECK(group.permits.size() == 2);
+    group.order(decide { { 1 }, { second.id, contentDigest(second), { 5 }, true } });
+    REQUIRE(group.permits.size() == 4);
+    CHECK(group.permits.back().id == second.id);
+    // The old map is released only when every rank has run the first step with the new one.
+    CHECK(group.releases.empty());
+    group.ask(6);
+    CHECK(group.releases.size() == 2);
+}
+
+// Guards against a group that stops for as long as it is cut off from the voters.
+TEST_CASE("a group without a quorum goes on with its map", "[group]")
+{
+    pair_of_gates group;
+    const auto first = group.install();
+    const auto second = mapOf(1, 2, 1);
+    group.holdAt(second, first.id, 5);
+    group.ask(5);
+    group.permits.clear();
+    group.tick(std::chrono::seconds(1));
+    CHECK(group.permits.empty());
+    group.tick(std::chrono::seconds(2));
+    group.tick();
+    REQUIRE(group.permits.size() == 2);
+    CHECK(group.permits[0].id == first.id);
+    CHECK(group.permits[1].id == first.id);
+    // The decision that comes after all changes nothing any more.
+    group.order(decide { { 1 }, { second.id, contentDigest(second), { 5 }, true } });
+    CHECK(group.gates[0].status().current.id == first.id);
+    CHECK(group.gates[0].status().pending.phase == switch_phase::none);
+}
+
+// Guards against a vote that lets one rank fall back while another already uses the new map.
+TEST_CASE("one rank that knows the decision outweighs the votes to cancel", "[group]")
+{
+    pair_of_gates group;
+    const auto first = group.install();
+    const auto second = mapOf(1, 2, 1);
+    group.holdAt(second, first.id, 5);
+    group.feed(0, from_controller { decide { { 1 }, { second.id, contentDigest(second), { 5 }, true } } });
+    group.permits.clear();
+    group.ask(5);
+    CHECK(group.permits.size() == 1);
+    group.tick(std::chrono::seconds(3));
+    REQUIRE(group.permits.size() == 2);
+    CHECK(group.permits[1].id == second.id);
+}
+
+// Guards against orders of a controller that was frozen or cut off and does not know that it was replaced.
+TEST_CASE("a rank refuses an older fencing number", "[group]")
+{
+    pair_of_gates group;
+    const auto first = group.install();
+    group.order(inquire { { 2 } });
+    group.order(prepare { { 1 }, first.id, mapOf(1, 2, 1) });
+    CHECK(group.refusals.size() == 2);
+    CHECK(group.refusals[0].code == result_code::stale_fence);
+    CHECK(group.gates[0].status().pending.phase == switch_phase::none);
+}
+
+// Guards against weights that stay loaded for a switch that does not take place.
+TEST_CASE("an abandoned switch releases what was loaded for it", "[group]")
+{
+    pair_of_gates group;
+    const auto first = group.install();
+    const auto second = mapOf(1, 2, 1);
+    group.holdAt(second, first.id, 5);
+    group.order(decide { { 2 }, { second.id, contentDigest(second), {}, false } });
+    REQUIRE(group.releases.size() == 2);
+    CHECK(group.releases[0].content == contentDigest(second));
+    group.ask(5);
+    CHECK(group.permits.back().id == first.id);
+}
+
+// Guards against a decision while a rank has restarted after it agreed: its new life knows of no hold.
+TEST_CASE("a rank that restarts before the decision ends the switch", "[group]")
+{
+    const time_point now { std::chrono::hours(1) };
+    controller_settings settings;
+    settings.ranks = 1;
+    switch_controller controller(settings);
+    (void)controller.step(took_over { { 7 }, std::nullopt }, now);
+    rank_status status;
+    status.incarnation = { 5 };
+    status.engine = { 6 };
+    status.floor = { 7 };
+    status.joined = true;
+    status.view = checksum(encode(std::vector<incarnation_id> { { 5 } }));
+    status.sequence = 1;
+    (void)controller.step(status_received { status }, now);
+    const auto sent = only<send_rank>(controller.step(propose_map { mapOf(0, 0, 0).layers }, now));
+    REQUIRE(sent.size() == 1);
+    const auto id = std::get<prepare>(sent[0].message).map.id;
+    status.pending = { switch_phase::prepared, id, {}, {} };
+    status.ready = true;
+    status.engine = { 8 };
+    ++status.sequence;
+    const auto abandoned = only<switch_abandoned>(controller.step(status_received { status }, now));
+    REQUIRE(abandoned.size() == 1);
+    CHECK(abandoned[0].why == result_code::rank_not_ready);
+}
+
+// Guards against a late record of a replaced controller, and a repeated one that hides a later decision.
+TEST_CASE("the log records decisions of the latest controller only, and never an earlier one last", "[group]")
+{
+    decision_register log;
+    log.issue({ 1 });
+    const decision first { { { 1 }, { 1 } }, {}, { 4 }, true };
+    const decision second { { { 1 }, { 2 } }, {}, { 9 }, true };
+    CHECK(log.record(first) == record_outcome::recorded);
+    CHECK(log.record(second) == record_outcome::recorded);
+    CHECK(log.record(first) == record_outcome::recorded);
+    CHECK(log.last() == second);
+    log.issue({ 2 });
+    CHECK(log.record({ { { 1 }, { 3 } }, {}, { 12 }, true }) == record_outcome::refused);
+    CHECK(log.last() == second);
+}
+
+// Guards against a witness that sees no difference between two maps of one version.
+TEST_CASE("the witness refuses another map version or content in one step", "[group]")
+{
+    logFor(part::invariant)->set_level(spdlog::level::off);
+    step_witness witness(2);
+    witness.permitted(0, { { 3 }, { { 1 }, { 2 } }, sha256("a") });
+    CHECK_THROWS_AS(witness.permitted(1, { { 3 }, { { 1 }, { 1 } }, sha256("a") }), invariant_violation);
+    CHECK_THROWS_AS(witness.permitted(1, { { 3 }, { { 1 }, { 2 } }, sha256("b") }), invariant_violation);
+    logFor(part::invariant)->set_level(spdlog::level::warn);
+    witness.permitted(1, { { 3 }, { { 1 }, { 2 } }, sha256("a") });
+    CHECK(witness.isComplete());
+}
