Report service-level burn from every entry

Cause: operators had no view of service levels and error budgets. Change: entries record each request that ended, keep copies of two others' records, and an entry asked for the report gathers all records for 0.5 s; 'figcleat report burn' prints a table, JSON or a page; metrics show two histograms. Before: no report. Conclusion: a lost entry's record survives in its copies of the last minute; that is not yet tested.

--- a/include/figcleat/cli/operator-client.h
+++ b/include/figcleat/cli/operator-client.h
@@ -17,6 +17,12 @@
     nlohmann::json body;
 };
 
+struct raw_answer
+{
+    int httpStatus = 0;
+    std::string body;
+};
+
 /** One request to the operator interface of one entry; blocks until the answer or the timeout. */
 class operator_client
 {
@@ -24,11 +30,13 @@
     operator_client(socket_address entry, std::string credential, duration timeout);
 
     [[nodiscard]] expected<operator_answer> get(const std::string &path) const;
+    /** An answer that is no JSON; operator_credential_wrong or not_found if the entry refuses. */
+    [[nodiscard]] expected<std::string> getText(const std::string &path) const;
     [[nodiscard]] expected<operator_answer> post(const std::string &path, const std::string &body) const;
 
 private:
-    [[nodiscard]] expected<operator_answer> call(const std::string &method, const std::string &path,
-                                                 const std::string &body) const;
+    [[nodiscard]] expected<raw_answer> call(const std::string &method, const std::string &path,
+                                            const std::string &body) const;
 
     socket_address m_entry;
     std::string m_credential;
--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -4,6 +4,7 @@
 #include "figcleat/daemon/messenger.h"
 #include "figcleat/daemon/operator-api.h"
 #include "figcleat/daemon/proposer.h"
+#include "figcleat/daemon/service-levels.h"
 #include "figcleat/distribution/replica.h"
 #include "figcleat/http/server.h"
 #include "figcleat/request/pipeline.h"
@@ -28,6 +29,13 @@
     void drain();
 
 private:
+    struct summary_gathering
+    {
+        report::summary_merger merger;
+        burn_function answer;
+        time_point deadline;
+    };
+
     entry_node(daemon_settings settings, loop &eventLoop, const clock &time, std::uint64_t random);
     [[nodiscard]] expected<void> start(std::uint64_t random);
 
@@ -40,6 +48,7 @@
     void propose(agreed::command command, decision_function decide) override;
     void changeMembership(bool add, const peer_address &voter, decision_function decide) override;
     void readUsage(usage_function answer) override;
+    void readServiceLevels(burn_function answer) override;
     [[nodiscard]] bool overrideLocally(const data_centre_id &dataCentre, bool out) override;
     [[nodiscard]] const agreed::configuration_in_force &inForce() const override;
     [[nodiscard]] nlohmann::json status() const override;
@@ -53,10 +62,14 @@
     void on(const peer_address &from, const usage_query &message);
     void on(const peer_address &from, const usage_answer &message);
     void on(const peer_address &from, const membership_request &message);
+    void on(const peer_address &from, const summary_query &message);
+    void on(const peer_address &from, const summary_answer &message);
     void on(const peer_address &from, const consensus::raft_message &message);
     template<typename Message>
     void on(const peer_address &from, const Message &message);
 
+    void sendSummaryCopies();
+    void finishGathering();
     void heartbeat();
     void tick();
     void step(const request::pipeline_event &event);
@@ -98,6 +111,9 @@
     std::unordered_map<std::uint64_t, decision_function> m_decisions;
     std::unordered_map<std::uint64_t, decision_function> m_membershipChanges;
     std::unordered_map<std::uint64_t, usage_function> m_usageReads;
+    service_levels m_levels;
+    std::map<std::uint64_t, summary_gathering> m_gatherings;
+    time_point m_nextSummary;
     std::map<peer_address, peer_state> m_peers;
     std::map<peer_address, target_id> m_targets;
     std::map<result_code, std::uint64_t> m_ended;
--- a/include/figcleat/daemon/operator-api.h
+++ b/include/figcleat/daemon/operator-api.h
@@ -4,6 +4,7 @@
 #include "figcleat/core/digest.h"
 #include "figcleat/daemon/loop.h"
 #include "figcleat/http/server.h"
+#include "figcleat/report/burn.h"
 #include "figcleat/settings/daemon-settings.h"
 
 #include <functional>
@@ -16,6 +17,8 @@
 using decision_function = std::function<void(result_code, const agreed::outcome &)>;
 using usage_function = std::function<void(result_code, const std::vector<agreed::usage_row> &)>;
 
+using burn_function = std::function<void(const report::burn_report &)>;
+
 /** What the operators' interface asks of the entry that serves it. */
 class operator_backend
 {
@@ -24,6 +27,8 @@
     virtual void propose(agreed::command command, decision_function decide) = 0;
     virtual void changeMembership(bool add, const peer_address &voter, decision_function decide) = 0;
     virtual void readUsage(usage_function answer) = 0;
+    /** Gathers the service-level summaries of all entries that answer in time. */
+    virtual void readServiceLevels(burn_function answer) = 0;
     /** Takes the entry's own data centre out, or back, without a quorum; false for another data centre. */
     [[nodiscard]] virtual bool overrideLocally(const data_centre_id &dataCentre, bool out) = 0;
     [[nodiscard]] virtual const agreed::configuration_in_force &inForce() const = 0;
@@ -35,7 +40,8 @@
  * HTTP interface for operators, on an address of its own.
  *
  * `POST /configuration` (TOML), `GET /configuration`, `POST /data-centres/NAME/out` and `/in`,
- * `POST /voters/add` and `/remove` (address as body), `GET /status`, `GET /usage`, `GET /metrics`. All but
+ * `POST /voters/add` and `/remove` (address as body), `GET /status`, `GET /usage`, `GET /metrics`,
+ * `GET /report/burn`, `/report/burn.json` and `/report/burn.html`. All but
  * `/metrics` need the operators' credential. Answers are JSON with `code`, `name` and `detail`.
  */
 class operator_api : private http_handler
@@ -56,6 +62,7 @@
     void setDataCentre(exchange_id exchange, const std::string &path);
     void changeVoters(exchange_id exchange, const http_request &request);
     void readUsage(exchange_id exchange);
+    void readBurn(exchange_id exchange, const std::string &path);
     void sendOutcome(exchange_id exchange, result_code code, const agreed::outcome &result);
     void sendJson(exchange_id exchange, int status, const nlohmann::json &body);
     void sendError(exchange_id exchange, result_code code, const std::string &detail);
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -3,6 +3,7 @@
 #include "figcleat/agreed/commands.h"
 #include "figcleat/consensus/messages.h"
 #include "figcleat/distribution/messages.h"
+#include "figcleat/report/service-level.h"
 #include "figcleat/target/messages.h"
 #include "figcleat/wire/codec.h"
 
@@ -75,11 +76,28 @@
     MSGPACK_DEFINE(id, add, address)
 };
 
+/** Asks an entry for every service-level summary that it holds. */
+struct summary_query
+{
+    std::uint64_t id = 0;
+
+    MSGPACK_DEFINE(id)
+};
+
+/** One summary; `id` is 0 for a copy that the receiver is to keep. */
+struct summary_answer
+{
+    std::uint64_t id = 0;
+    report::service_level_summary summary;
+
+    MSGPACK_DEFINE(id, summary)
+};
+
 using process_message
     = std::variant<announce, dispatch, attempt_refused, answer_piece, attempt_finished, attempt_cancel, close_attempt,
                    attempt_closed, peer_state, proposal, proposal_answer, usage_query, usage_answer, membership_request,
-                   distribution::heartbeat, distribution::fetch_configuration, distribution::fetch_declined,
-                   distribution::configuration_copy, consensus::raft_message>;
+                   summary_query, summary_answer, distribution::heartbeat, distribution::fetch_configuration,
+                   distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message>;
 
 struct envelope
 {
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -25,6 +25,7 @@
   check-settings FILE   check a settings file of a process
   apply FILE            submit a configuration; accepted or refused as a whole
   status                what an entry knows of data centres, entries, voters and targets
+  report burn           service levels, error budgets and burn alerts (--json, --html)
   usage                 use by workspace and service
   configuration         print the configuration in force
   drain DATA_CENTRE     take a data centre out of service
@@ -41,6 +42,7 @@
     std::string entry;
     std::string credentialFile;
     bool json = false;
+    bool html = false;
 };
 
 po::options_description options(arguments &given)
@@ -50,7 +52,8 @@
                         "operator address of any entry")(
         "credential-file", po::value(&given.credentialFile),
         "file with the operators' credential; else the variable FIGCLEAT_CREDENTIAL is used")(
-        "json", po::bool_switch(&given.json), "print the answer as JSON")("help,h", "show this text");
+        "json", po::bool_switch(&given.json), "print the answer as JSON")(
+        "html", po::bool_switch(&given.html), "print a report as a page for a browser")("help,h", "show this text");
     return known;
 }
 
@@ -139,6 +142,20 @@
     return 0;
 }
 
+int printReport(const arguments &given, const operator_client &client)
+{
+    if (given.operand != "burn") {
+        return report({ result_code::usage_error, "the only report is burn" });
+    }
+    const std::string format = given.html ? ".html" : given.json ? ".json" : "";
+    const auto answer = client.getText("/report/burn" + format);
+    if (!answer) {
+        return report(answer.error());
+    }
+    std::cout << *answer;
+    return 0;
+}
+
 int applyFile(const arguments &given, const operator_client &client)
 {
     const auto content = readFile(given.operand);
@@ -153,6 +170,9 @@
     if (given.command == "status") {
         return printRead(given, client.get("/status"), renderStatus);
     }
+    if (given.command == "report") {
+        return printReport(given, client);
+    }
     if (given.command == "usage") {
         return printRead(given, client.get("/usage"), renderUsage);
     }
--- a/src/cli/operator-client.cc
+++ b/src/cli/operator-client.cc
@@ -43,13 +43,9 @@
         m_loop->stop();
     }
 
-    [[nodiscard]] std::optional<operator_answer> answer() const
+    [[nodiscard]] std::optional<raw_answer> answer() const
     {
-        auto body = nlohmann::json::parse(m_body, nullptr, false);
-        if (!m_whole || body.is_discarded()) {
-            return std::nullopt;
-        }
-        return operator_answer { m_status, std::move(body) };
+        return m_whole ? std::optional(raw_answer { m_status, m_body }) : std::nullopt;
     }
 
 private:
@@ -59,6 +55,18 @@
     bool m_whole = false;
 };
 
+expected<operator_answer> toJson(const expected<raw_answer> &answer, const socket_address &entry)
+{
+    if (!answer) {
+        return tl::unexpected<error>(answer.error());
+    }
+    auto body = nlohmann::json::parse(answer->body, nullptr, false);
+    if (!body.is_object()) {
+        return fail(result_code::entry_unreachable, toString(entry) + " gives no JSON");
+    }
+    return operator_answer { answer->httpStatus, std::move(body) };
+}
+
 } // namespace
 
 operator_client::operator_client(socket_address entry, std::string credential, duration timeout)
@@ -70,16 +78,31 @@
 
 expected<operator_answer> operator_client::get(const std::string &path) const
 {
-    return call("GET", path, {});
+    return toJson(call("GET", path, {}), m_entry);
 }
 
 expected<operator_answer> operator_client::post(const std::string &path, const std::string &body) const
 {
-    return call("POST", path, body);
+    return toJson(call("POST", path, body), m_entry);
+}
+
+expected<std::string> operator_client::getText(const std::string &path) const
+{
+    auto answer = call("GET", path, {});
+    if (!answer) {
+        return tl::unexpected<error>(answer.error());
+    }
+    constexpr int success = 200;
+    constexpr int unauthorized = 401;
+    if (answer->httpStatus != success) {
+        const bool credential = answer->httpStatus == unauthorized;
+        return fail(credential ? result_code::operator_credential_wrong : result_code::not_found, path);
+    }
+    return std::move(answer->body);
 }
 
-expected<operator_answer> operator_client::call(const std::string &method, const std::string &path,
-                                                const std::string &body) const
+expected<raw_answer> operator_client::call(const std::string &method, const std::string &path,
+                                           const std::string &body) const
 {
     loop eventLoop;
     answer_collector collector(eventLoop);
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -48,6 +48,7 @@
     , m_pipeline(pipelineOptions(m_settings, random))
     , m_replica(replicaSettings(m_settings, distribution::replica_role::entry, random))
     , m_proposer(votersOf(m_settings))
+    , m_levels(m_settings.vm, incarnation_id { random | 1U })
 {
 }
 
@@ -257,6 +258,8 @@
         m_targets.erase(silent);
     }
     carryOutAll(m_proposer.tick(m_time->now()));
+    finishGathering();
+    sendSummaryCopies();
     step(distribution::replica_event { distribution::tick {} });
     step(request::pipeline_event { request::tick {} });
     if (m_drainDeadline && m_time->now() >= *m_drainDeadline) {
@@ -358,6 +361,9 @@
 void entry_node::carryOut(request::request_ended &action)
 {
     ++m_ended[action.code];
+    if (m_config) {
+        m_levels.record(action, *m_config, m_time->now());
+    }
     logFor(part::request)
         ->info("Request {} of {} at {} ended with {} ({}) after {} ms and {} attempts.", action.id.value,
                action.workspace.value, action.service.value, static_cast<int>(action.code), describe(action.code).name,
--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -1,6 +1,7 @@
 #include "figcleat/core/invariant.h"
 #include "figcleat/daemon/entry-node.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 /** What an entry tells operators and does for them. */
@@ -10,6 +11,9 @@
 namespace
 {
 
+// Entries that answer later are not part of a report.
+constexpr duration gatheringTime = std::chrono::milliseconds(500);
+
 std::int64_t toMillis(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -64,6 +68,69 @@
     m_messenger->send(leader, usage_query { id });
 }
 
+void entry_node::readServiceLevels(burn_function answer)
+{
+    const std::uint64_t id = ++m_lastId;
+    auto &gathering = m_gatherings[id];
+    gathering.answer = std::move(answer);
+    gathering.deadline = m_time->now() + gatheringTime;
+    for (auto &summary : m_levels.held(m_time->now())) {
+        (void)gathering.merger.accept(std::move(summary), m_time->now());
+    }
+    for (const auto &peer : m_settings.mailbox.peers) {
+        m_messenger->send(peer, summary_query { id });
+    }
+}
+
+void entry_node::on(const peer_address &from, const summary_query &message)
+{
+    for (auto &summary : m_levels.held(m_time->now())) {
+        m_messenger->send(from, summary_answer { message.id, std::move(summary) });
+    }
+}
+
+void entry_node::on(const peer_address & /*from*/, const summary_answer &message)
+{
+    if (message.id == 0) {
+        m_levels.keep(message.summary, m_time->now());
+        return;
+    }
+    const auto found = m_gatherings.find(message.id);
+    if (found != m_gatherings.end()) {
+        (void)found->second.merger.accept(message.summary, m_time->now());
+    }
+}
+
+void entry_node::finishGathering()
+{
+    for (auto it = m_gatherings.begin(); it != m_gatherings.end();) {
+        if (m_time->now() < it->second.deadline) {
+            ++it;
+            continue;
+        }
+        const auto levels = it->second.merger.merged(m_time->now());
+        const configuration none;
+        it->second.answer(report::burn(levels, m_config ? *m_config : none, m_time->wallNow()));
+        it = m_gatherings.erase(it);
+    }
+}
+
+void entry_node::sendSummaryCopies()
+{
+    if (m_time->now() < m_nextSummary) {
+        return;
+    }
+    m_nextSummary = m_time->now() + summaryPeriod;
+    const auto &peers = m_settings.mailbox.peers;
+    const auto summary = m_levels.summarise(m_time->now());
+    // The peers that follow this one in the order of addresses, so that copies spread over all entries.
+    auto next = std::upper_bound(peers.begin(), peers.end(), m_messenger->self());
+    for (std::size_t i = 0; i < std::min(summaryCopies, peers.size()); ++i) {
+        next = next == peers.end() ? peers.begin() : next;
+        m_messenger->send(*next++, summary_answer { 0, summary });
+    }
+}
+
 bool entry_node::overrideLocally(const data_centre_id &dataCentre, bool out)
 {
     if (dataCentre != m_settings.dataCentre) {
@@ -173,7 +240,7 @@
     addCounter(text, "figcleat_mailbox_dropped_messages_total", "", messages.messagesDropped);
     addCounter(text, "figcleat_configuration_revision", "", m_replica.configuration().revision.value);
     addCounter(text, "figcleat_invariant_violations_total", "", violationCount());
-    return text;
+    return text + m_levels.metrics();
 }
 
 } // namespace figcleat
--- a/src/daemon/operator-api.cc
+++ b/src/daemon/operator-api.cc
@@ -1,6 +1,7 @@
 #include "figcleat/daemon/operator-api.h"
 
 #include "figcleat/core/log.h"
+#include "figcleat/report/render.h"
 #include "figcleat/settings/configuration.h"
 
 namespace figcleat
@@ -11,6 +12,7 @@
 
 constexpr int statusOk = 200;
 constexpr std::string_view dataCentresPath = "/data-centres/";
+constexpr std::string_view burnPath = "/report/burn";
 constexpr std::string_view votersPath = "/voters/";
 
 nlohmann::json toJson(const std::vector<problem> &problems)
@@ -73,6 +75,8 @@
                  { { "revision", held.revision.value }, { "number", held.number }, { "content", held.content } });
     } else if (isRead && request.path == "/usage") {
         readUsage(exchange);
+    } else if (isRead && request.path.starts_with(burnPath)) {
+        readBurn(exchange, request.path);
     } else if (!isRead && request.path == "/configuration") {
         apply(exchange, request);
     } else if (!isRead && request.path.starts_with(dataCentresPath)) {
@@ -166,6 +170,21 @@
     });
 }
 
+void operator_api::readBurn(exchange_id exchange, const std::string &path)
+{
+    const std::string format = path.substr(burnPath.size());
+    m_backend->readServiceLevels([this, exchange, format](const report::burn_report &found) {
+        if (format == ".json") {
+            m_server->reply(exchange, statusOk, { { "Content-Type", "application/json" } }, report::renderJson(found));
+        } else if (format == ".html") {
+            m_server->reply(exchange, statusOk, { { "Content-Type", "text/html; charset=utf-8" } },
+                            report::renderHtml(found));
+        } else {
+            m_server->reply(exchange, statusOk, { { "Content-Type", "text/plain" } }, report::renderTable(found));
+        }
+    });
+}
+
 void operator_api::sendOutcome(exchange_id exchange, result_code code, const agreed::outcome &result)
 {
     const result_code told = code == result_code::ok ? result.code : code;
