--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -25,9 +25,9 @@
                         "--base-port", str(base_port), "--targets-per-service", targets], check=True)
 
     def start(self, name, *command):
-        log = open(self.folder / f"{name}.log", "ab")
-        self.processes[name] = subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
-                                                cwd=self.folder)
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
+                                                    cwd=self.folder)
 
     def start_daemon(self, name):
         self.start(name, self.build / "figcleatd", "--settings", self.folder / f"{name}.toml")
--- a/include/figcleat/request/events.h
+++ b/include/figcleat/request/events.h
@@ -128,6 +128,8 @@
 /** All requests have ended after stop_requested. */
 struct drained
 {
+    /** Use of the last seconds could not be recorded. */
+    bool usageLost = false;
 };
 
 using pipeline_action = std::variant<reply, start_stream, send_piece, end_stream, break_stream, send_to_target, propose,
--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -10,6 +10,7 @@
 #include "figcleat/request/verdict.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 
 /** Time an entry waits for an agreement before it answers without it. */
 inline constexpr duration settleTimeout = std::chrono::seconds(1);
+inline constexpr duration usageFlushTimeout = std::chrono::seconds(5);
 inline constexpr duration resolveTimeout = std::chrono::seconds(1);
 /** Time after which the deadline passes at the entry once the target's copy of it has passed. */
 inline constexpr duration deadlineGrace = std::chrono::milliseconds(100);
@@ -187,6 +189,8 @@
     bool m_roomFreed = false;
     bool m_stopping = false;
     bool m_drained = false;
+    /** Until when a stopping entry tries to record its last use. */
+    std::optional<time_point> m_flushDeadline;
     time_point m_now;
     std::vector<pipeline_action> m_actions;
 };
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -370,8 +370,11 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(action.total).count(), action.attempts);
 }
 
-void entry_node::carryOut(request::drained & /*action*/)
+void entry_node::carryOut(request::drained &action)
 {
+    if (action.usageLost) {
+        logFor(part::request)->warn("The use of the last seconds could not be recorded.");
+    }
     logFor(part::request)->info("All requests have ended; stops.");
     m_loop->stop();
 }
--- a/src/daemon/messenger.cc
+++ b/src/daemon/messenger.cc
@@ -76,7 +76,7 @@
 {
     std::vector<peer_address> silent;
     for (auto &[address, state] : m_heard) {
-        if (!state.reportedSilent && m_time->now() - state.lastHeard >= limit) {
+        if (address != m_self && !state.reportedSilent && m_time->now() - state.lastHeard >= limit) {
             state.reportedSilent = true;
             silent.push_back(address);
         }
--- a/src/request/pipeline.cc
+++ b/src/request/pipeline.cc
@@ -146,8 +146,13 @@
         emit(propose { m_usageProposal, std::move(*batch) });
     }
     eraseEnded();
-    if (m_stopping && m_requests.empty() && m_usage.empty() && !std::exchange(m_drained, true)) {
-        emit(drained {});
+    if (m_stopping && m_requests.empty() && !m_drained) {
+        m_flushDeadline = m_flushDeadline.value_or(m_now + usageFlushTimeout);
+        // Without a quorum the last use cannot be recorded, and that must not keep the entry from stopping.
+        m_drained = m_usage.empty() || m_now >= *m_flushDeadline;
+        if (m_drained) {
+            emit(drained { !m_usage.empty() });
+        }
     }
 }
 
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -353,3 +353,18 @@
     (void)test.step(proposal_decided { find<propose>(usage)->proposal, result_code::ok, {} });
     CHECK(find<drained>(test.wait(std::chrono::milliseconds(100))).has_value());
 }
+
+// Guards against an entry that cannot stop while the voters have no quorum.
+TEST_CASE("a stopping entry gives up its last usage batch after a while", "[request]")
+{
+    bench test;
+    test.announceTarget("t1", "models");
+    const auto job = *findMessage<dispatch>(test.completion());
+    (void)test.step(piece(job.attempt, 0, "a"));
+    (void)test.step(attempt_finished { job.attempt, result_code::ok, 1, {} });
+    (void)test.step(stop_requested {});
+    CHECK_FALSE(find<drained>(test.wait(std::chrono::seconds(4))).has_value());
+    const auto end = find<drained>(test.wait(std::chrono::seconds(2)));
+    REQUIRE(end.has_value());
+    CHECK(end->usageLost);
+}
