--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -99,6 +99,9 @@
         data_centre_id dataCentre;
         std::uint32_t maxRequestsInProgress = 4096;
         std::uint64_t seed = 1;
+        placement::policy policy = placement::two_choices_by_spare {};
+        /** False puts all workspaces into one lane of each queue, as a baseline to compare with. */
+        bool fairQueue = true;
     };
 
     explicit pipeline(options chosen);
@@ -137,6 +140,8 @@
     void retry(request_in_progress &request);
     // place
     [[nodiscard]] std::optional<placement::target_choice> choose(request_in_progress &request);
+    [[nodiscard]] placement::placement_request placementOf(const request_in_progress &request) const;
+    [[nodiscard]] bool isTargetUsable(const request_in_progress &request) const;
     void startAttempt(request_in_progress &request, const placement::target_choice &chosen);
     void onTargetLost(const placement::lost_target &lost);
     // dispatch
--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -68,6 +68,14 @@
         = result.status == agreed::claim_status::held && result.record.attempt == request.attempt;
     if (result.status == agreed::claim_status::granted || heldByThisAttempt) {
         request.fence = heldByThisAttempt ? result.record.fence : result.fence;
+        if (!isTargetUsable(request)) {
+            // The target left, was taken out or fell silent while the log decided; the call was not handed over.
+            forgetAttempt(request);
+            request.lastRefusal = result_code::no_target;
+            proposeFor(request, phase::releasing, agreed::release_claim { *request.call.key, request.fence },
+                       request.call.deadline - m_now);
+            return;
+        }
         sendDispatch(request);
         return;
     }
--- a/src/request/limit.cc
+++ b/src/request/limit.cc
@@ -47,8 +47,10 @@
     const workspace *sender = findWorkspace(request.call.workspace);
     queued_request waiting;
     waiting.id = { request.number };
-    waiting.workspace = request.call.workspace;
-    waiting.weight = sender == nullptr ? 1 : sender->weight;
+    if (m_options.fairQueue) {
+        waiting.workspace = request.call.workspace;
+        waiting.weight = sender == nullptr ? 1 : sender->weight;
+    }
     waiting.cost = queueCost(request.call.cost);
     waiting.deadline = request.call.deadline;
     request.now = phase::queued;
--- a/src/request/pipeline.cc
+++ b/src/request/pipeline.cc
@@ -12,7 +12,7 @@
 pipeline::pipeline(options chosen)
     : m_options(std::move(chosen))
     , m_targets(placement::table_settings { m_options.dataCentre })
-    , m_policy(placement::two_choices_by_spare {})
+    , m_policy(m_options.policy)
     , m_usage(m_options.entry)
     , m_backoff(m_options.seed)
     , m_random(m_options.seed)
--- a/src/request/place.cc
+++ b/src/request/place.cc
@@ -1,18 +1,34 @@
 #include "figcleat/request/pipeline.h"
 
+#include <algorithm>
+
 /** Filter `place`: chooses a target from hints. */
 namespace figcleat::request
 {
 
-std::optional<placement::target_choice> pipeline::choose(request_in_progress &request)
+placement::placement_request pipeline::placementOf(const request_in_progress &request) const
 {
     placement::placement_request wanted;
     wanted.service = request.call.service;
     wanted.model = request.call.model;
     wanted.cost = request.call.cost;
     wanted.prefixHash = request.call.prefix;
-    wanted.excluded = request.refusedBy;
     wanted.maySpill = false;
+    return wanted;
+}
+
+bool pipeline::isTargetUsable(const request_in_progress &request) const
+{
+    const auto all = m_targets.candidates(placementOf(request), m_now);
+    return std::ranges::any_of(all, [&request](const placement::candidate &one) {
+        return one.target == request.target.name && one.incarnation == request.target.incarnation;
+    });
+}
+
+std::optional<placement::target_choice> pipeline::choose(request_in_progress &request)
+{
+    auto wanted = placementOf(request);
+    wanted.excluded = request.refusedBy;
     const auto chosen = placement::choose(m_targets, wanted, m_policy, m_random, m_now);
     const auto *target = chosen ? std::get_if<placement::target_choice>(&*chosen) : nullptr;
     if (target == nullptr) {
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -254,6 +254,38 @@
     CHECK(find<reply>(settled)->body == "booked");
 }
 
+// Guards against work that is sent to a target which left, or was taken out, while the log decided on the claim.
+TEST_CASE("a claim for a target that is no longer usable is given back", "[request]")
+{
+    bench test;
+    test.announceTarget("d1", "desk");
+    const auto claim = find<propose>(test.booking("k1"));
+    REQUIRE(claim.has_value());
+    SECTION("its data centre is out")
+    {
+        test.step(configuration_changed { makeConfiguration(), { { "north" } }, { 2 } });
+    }
+    SECTION("it is silent")
+    {
+        (void)test.wait(std::chrono::seconds(2));
+    }
+    SECTION("it has a new incarnation")
+    {
+        test.announceTarget("d1", "desk", 2);
+    }
+    agreed::outcome granted;
+    granted.status = agreed::claim_status::granted;
+    granted.fence = { 9 };
+    const auto answer = test.step(proposal_decided { claim->proposal, result_code::ok, granted });
+    CHECK_FALSE(findMessage<dispatch>(answer).has_value());
+    const auto released = find<propose>(answer);
+    REQUIRE(released.has_value());
+    CHECK(std::get<agreed::release_claim>(released->command).fence == fence_number { 9 });
+    const auto end = test.step(proposal_decided { released->proposal, result_code::agreement_unavailable, {} });
+    REQUIRE(find<reply>(end).has_value());
+    CHECK(headerOf(*find<reply>(end), "X-Figcleat-Request") == "not_run");
+}
+
 // Guards against a second run when a key is sent again while, or after, its first call runs.
 TEST_CASE("a resent key gets the outcome of the attempt that holds it", "[request]")
 {
