Resolve held keys and lost messages in the request pipeline

Cause, each seen in a run of the harness or in a focused test: - The agreed state answers a claim on a held key with the code still_running. The pipeline looked at the code before the status, so a key whose entry had died stayed "still running" for its whole life. - After a held claim was given back and claimed anew, the outcome was read from the other attempt's record, and the caller got answer_not_kept for a call that had an answer. - A second copy of a dispatch is refused with duplicate_attempt, which ended the attempt of the first copy. - A lost dispatch, refusal, piece or end was noticed at the deadline only. - A resend that waited for another attempt's target at its deadline was told "not run". - No target of another data centre was ever used, so the callers of a data centre that was out were refused. - A call that is not streamed had to repeat the words of its first run, which no caller had seen. - A key that was claimed again after a release took from the retry budget, though nothing had been sent.

Change: the status decides; the other record is forgotten on a retry; a duplicate is ignored; an attempt without progress for 2 s is asked about with close_attempt, which also bars it if it never started; the other points as named. The harness sends open keys again when all is quiet and fails if one has no outcome.

--- a/include/figcleat/request/answer-stream.h
+++ b/include/figcleat/request/answer-stream.h
@@ -44,6 +44,8 @@
     /** True while a second run could still give the caller a whole answer. */
     [[nodiscard]] bool canRestart() const;
     [[nodiscard]] bool hasStarted() const;
+    /** True if a piece is missing while a later one, or the end, is there. */
+    [[nodiscard]] bool hasGap() const;
     [[nodiscard]] std::uint64_t piecesTaken() const;
 
 private:
--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -21,6 +21,8 @@
 /** Time an entry waits for an agreement before it answers without it. */
 inline constexpr duration settleTimeout = std::chrono::seconds(1);
 inline constexpr duration resolveTimeout = std::chrono::seconds(1);
+/** An attempt without progress for this long is asked about; a dispatch or an answer may have been lost. */
+inline constexpr duration progressTimeout = std::chrono::seconds(2);
 /** Time after which the deadline passes at the entry once the target's copy of it has passed. */
 inline constexpr duration deadlineGrace = std::chrono::milliseconds(100);
 
@@ -77,6 +79,10 @@
     http_headers headers;
     std::string body;
     token_count generatedTokens;
+    /** A piece was missing when the target was last asked about this attempt. */
+    bool missedPiece = false;
+    /** The target has said before that this attempt has finished. */
+    bool finishAsked = false;
     /** Code of the last refusal, to tell the caller why there was no room. */
     result_code lastRefusal = result_code::no_target;
     /** Erased when the step is over. */
@@ -147,12 +153,16 @@
     // dispatch
     void sendDispatch(request_in_progress &request);
     void onAttemptLost(request_in_progress &request, result_code code);
+    void onNotStarted(request_in_progress &request, result_code code);
+    void askForProgress(request_in_progress &request);
+    void onProgress(request_in_progress &request, const attempt_closed &closed);
     void onDeadline(request_in_progress &request);
     void cancelAttempt(request_in_progress &request);
     // claim
     void proposeFor(request_in_progress &request, phase next, agreed::command command, duration timeout);
     void onClaimDecided(request_in_progress &request, const proposal_decided &event);
     void onSettleDecided(request_in_progress &request);
+    void giveBackClaim(request_in_progress &request);
     void resolve(request_in_progress &request, const agreed::claim_record &other);
     void settleOther(request_in_progress &request, const attempt_closed &closed);
     void replyRecorded(request_in_progress &request, const agreed::claim_record &record);
--- a/src/request/answer-stream.cc
+++ b/src/request/answer-stream.cc
@@ -25,6 +25,11 @@
     return m_started;
 }
 
+bool answer_stream::hasGap() const
+{
+    return !m_early.empty() || m_finished;
+}
+
 std::uint64_t answer_stream::piecesTaken() const
 {
     return m_nextPosition;
--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -59,9 +59,10 @@
         end(request, result_code::agreement_unavailable);
         return;
     }
+    // The code of a held or settled key tells of the attempt that has it, so that only the status decides here.
     const auto &result = event.result;
-    if (result.code != result_code::ok) {
-        end(request, result.code);
+    if (result.status == agreed::claim_status::refused) {
+        end(request, result.code == result_code::ok ? result_code::agreement_unavailable : result.code);
         return;
     }
     const bool heldByThisAttempt
@@ -72,8 +73,7 @@
             // The target left, was taken out or fell silent while the log decided; the call was not handed over.
             forgetAttempt(request);
             request.lastRefusal = result_code::no_target;
-            proposeFor(request, phase::releasing, agreed::release_claim { *request.call.key, request.fence },
-                       request.call.deadline - m_now);
+            giveBackClaim(request);
             return;
         }
         sendDispatch(request);
@@ -87,6 +87,12 @@
     resolve(request, result.record);
 }
 
+void pipeline::giveBackClaim(request_in_progress &request)
+{
+    proposeFor(request, phase::releasing, agreed::release_claim { *request.call.key, request.fence },
+               request.call.deadline - m_now);
+}
+
 void pipeline::resolve(request_in_progress &request, const agreed::claim_record &other)
 {
     request.other = other;
@@ -102,6 +108,9 @@
 
 void pipeline::on(const attempt_closed &event)
 {
+    if (auto *own = findAttempt(event.attempt); own != nullptr && own->now == phase::dispatched) {
+        onProgress(*own, event);
+    }
     for (auto &[id, request] : m_requests) {
         if (!request.ended && request.now == phase::resolving && request.other.attempt == event.attempt) {
             settleOther(request, event);
--- a/src/request/dispatch.cc
+++ b/src/request/dispatch.cc
@@ -1,10 +1,19 @@
 #include "figcleat/core/log.h"
 #include "figcleat/request/pipeline.h"
+#include "figcleat/request/replies.h"
 
 /** Filter `dispatch`: hands an attempt to one target and decides what follows its loss or refusal. */
 namespace figcleat::request
 {
 
+namespace
+{
+
+// The last pieces of an attempt that has finished arrive within this time, or they are lost.
+constexpr duration finishGrace = std::chrono::milliseconds(200);
+
+} // namespace
+
 void pipeline::sendDispatch(request_in_progress &request)
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.call.deadline - m_now);
@@ -19,6 +28,13 @@
     message.claim = { request.fence, request.call.key.value_or(digest {}) };
     message.call = request.call.call;
     request.now = phase::dispatched;
+    request.wakeAt = m_now + progressTimeout;
+    request.missedPiece = request.finishAsked = false;
+    if (!request.call.streaming) {
+        // The caller has nothing of an earlier run, so that this one need not repeat it.
+        request.stream = {};
+        request.body.clear();
+    }
     request.stream.restart(request.attempt);
     ++request.attempts.handedOver;
     logFor(part::request)
@@ -48,6 +64,10 @@
     if (request == nullptr || request->now != phase::dispatched) {
         return;
     }
+    if (event.code == result_code::duplicate_attempt && event.targetIncarnation == request->target.incarnation) {
+        // Says only that this copy of the dispatch started nothing; the attempt goes on.
+        return;
+    }
     const bool provesNotStarted
         = describe(event.code).ran == execution::not_run && event.targetIncarnation == request->target.incarnation;
     if (!provesNotStarted) {
@@ -55,17 +75,67 @@
         onAttemptLost(*request, result_code::target_lost);
         return;
     }
-    forgetAttempt(*request);
-    ++request->attempts.provedNotStarted;
     m_targets.refused(request->target.name, request->target.incarnation);
     request->refusedBy.insert(request->target.name);
-    request->lastRefusal = event.code;
-    if (request->call.key) {
-        proposeFor(*request, phase::releasing, agreed::release_claim { *request->call.key, request->fence },
-                   request->call.deadline - m_now);
+    onNotStarted(*request, event.code);
+}
+
+void pipeline::onNotStarted(request_in_progress &request, result_code code)
+{
+    forgetAttempt(request);
+    ++request.attempts.provedNotStarted;
+    request.lastRefusal = code;
+    if (request.call.key) {
+        giveBackClaim(request);
         return;
     }
-    backOff(*request, event.code);
+    backOff(request, code);
+}
+
+void pipeline::askForProgress(request_in_progress &request)
+{
+    request.wakeAt = m_now + progressTimeout;
+    if (request.missedPiece && request.call.repeatable) {
+        // A piece has been missing for a whole period, while later ones wait for it.
+        onAttemptLost(request, result_code::stream_broken);
+        return;
+    }
+    request.missedPiece = request.stream.hasGap();
+    emit(send_to_target { request.target.address,
+                          close_attempt { request.attempt, request.fence, request.target.incarnation } });
+}
+
+void pipeline::onProgress(request_in_progress &request, const attempt_closed &closed)
+{
+    if (closed.targetIncarnation != request.target.incarnation) {
+        onAttemptLost(request, result_code::target_lost);
+        return;
+    }
+    switch (closed.state) {
+    case attempt_state::never_started:
+        // The dispatch was lost, or its refusal; the target now bars it.
+        onNotStarted(request, result_code::no_target);
+        return;
+    case attempt_state::running:
+        return;
+    case attempt_state::finished:
+        break;
+    }
+    if (!request.finishAsked) {
+        // Its last messages may have been overtaken by this one.
+        request.finishAsked = true;
+        request.wakeAt = m_now + finishGrace;
+        return;
+    }
+    if (closed.code == result_code::ok && request.call.key) {
+        request.attempts.ran = true;
+        request.status = static_cast<int>(closed.httpStatus);
+        request.headers = answerHeaders(request.call.id, {});
+        request.body = closed.answer;
+        finishWhole(request);
+        return;
+    }
+    onAttemptLost(request, closed.code == result_code::ok ? result_code::stream_broken : closed.code);
 }
 
 void pipeline::onAttemptLost(request_in_progress &request, result_code code)
@@ -82,6 +152,12 @@
 void pipeline::onDeadline(request_in_progress &request)
 {
     cancelAttempt(request);
+    if (request.other.fence != fence_number {} && verdictOf(request.attempts) == execution::not_run
+        && (request.now == phase::resolving || request.now == phase::settling)) {
+        // Another attempt holds the key, and it may have run.
+        end(request, result_code::outcome_unknown);
+        return;
+    }
     const bool neverStarted = verdictOf(request.attempts) == execution::not_run;
     end(request, neverStarted ? request.lastRefusal : result_code::deadline_exceeded);
 }
--- a/src/request/limit.cc
+++ b/src/request/limit.cc
@@ -102,6 +102,7 @@
 {
     request.now = phase::backing_off;
     request.fence = {};
+    request.other = {};
     if (describe(why).ran == execution::not_run) {
         request.lastRefusal = why;
     }
@@ -111,8 +112,9 @@
 
 void pipeline::retry(request_in_progress &request)
 {
-    // A spent budget delays retries and does not refuse them: the request may still be in time.
-    if (!m_retryBudget.takeRetry(m_now)) {
+    // A spent budget delays retries and does not refuse them: the request may still be in time. A request that was
+    // handed to no target yet, for example since its key was held by an attempt that never started, costs none.
+    if (request.attempts.handedOver > 0 && !m_retryBudget.takeRetry(m_now)) {
         request.wakeAt = m_now + budgetPause;
         return;
     }
--- a/src/request/pipeline.cc
+++ b/src/request/pipeline.cc
@@ -167,8 +167,10 @@
     case phase::settling:
         onSettleDecided(request);
         return;
-    case phase::queued:
     case phase::dispatched:
+        askForProgress(request);
+        return;
+    case phase::queued:
         return;
     }
 }
--- a/src/request/place.cc
+++ b/src/request/place.cc
@@ -13,7 +13,6 @@
     wanted.model = request.call.model;
     wanted.cost = request.call.cost;
     wanted.prefixHash = request.call.prefix;
-    wanted.maySpill = false;
     return wanted;
 }
 
--- a/src/request/stream.cc
+++ b/src/request/stream.cc
@@ -22,6 +22,9 @@
         return;
     }
     request->attempts.ran = true;
+    if (!request->stream.hasGap()) {
+        request->wakeAt = m_now + progressTimeout;
+    }
     forward(*request, request->stream.onPiece(event));
 }
 
--- a/test/pipeline-harness.h
+++ b/test/pipeline-harness.h
@@ -30,6 +30,7 @@
     late_end,
     leak,
     invariant,
+    key_stuck,
 };
 
 struct violation
@@ -85,9 +86,11 @@
     double answerLost = 0;
     placement::policy policy = placement::two_choices_by_spare {};
     bool fairQueue = true;
+    bool longAnswers = false;
     switched_off off;
 };
 
+constexpr std::uint32_t mostResends = 4;
 constexpr std::size_t cachedPrefixes = 12;
 constexpr duration entryTick = milliseconds(20);
 constexpr duration gateTick = milliseconds(50);
@@ -170,8 +173,9 @@
     std::uint64_t whole = 0;
     std::uint64_t connectionsLost = 0;
     std::uint64_t broken = 0;
-    std::uint64_t retried = 0;
-    std::uint64_t replaced = 0;
+    /** Attempts after the first, and requests that had any. */
+    std::map<workspace_id, std::uint64_t> retried;
+    std::map<workspace_id, std::uint64_t> replaced;
 };
 
 class world
@@ -257,7 +261,9 @@
         call.key = key;
         call.streaming = key.empty() && below(4) != 0;
         call.prefix = workspace * 8 + below(8);
-        call.pieces = key.empty() ? 3 + below(30) : 1;
+        // Some answers take longer than the silence that makes an entry give up a target.
+        const std::size_t longAnswer = m_settings.longAnswers && below(6) == 0 ? 120 : 0;
+        call.pieces = key.empty() ? 3 + below(30) + longAnswer : 1;
         call.entry = entry;
         call.exchange = { number };
         call.resends = resends;
@@ -493,9 +499,56 @@
         }
     }
 
-    void silence(const peer_address &from, const peer_address &to)
+    void reconnect(std::size_t dc)
     {
-        m_silent.insert({ from, to });
+        m_cut.erase(dc);
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            configure(i);
+        }
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            configureTarget(i);
+        }
+    }
+
+    void silence(const peer_address &from, const peer_address &to, bool silent)
+    {
+        if (silent) {
+            m_silent.insert({ from, to });
+        } else {
+            m_silent.erase({ from, to });
+        }
+    }
+
+    /** Sends every key without a whole answer again; call `checkKeys` some seconds later. */
+    void probeKeys()
+    {
+        std::map<std::string, std::size_t> open;
+        for (const auto &[number, call] : calls) {
+            if (!call.key.empty()) {
+                open.emplace(call.key, call.workspace);
+            }
+        }
+        for (const auto &[number, call] : calls) {
+            if (call.whole) {
+                open.erase(call.key);
+            }
+        }
+        m_firstProbe = m_lastCall + 1;
+        for (const auto &[key, workspace] : open) {
+            send(below(entries.size()), workspace, seconds(4), key, mostResends);
+        }
+    }
+
+    /** In quiet times a key is answered, or known to be lost, but not in progress. */
+    void checkKeys()
+    {
+        for (auto probe = calls.lower_bound(m_firstProbe); probe != calls.end(); ++probe) {
+            const auto &call = probe->second;
+            if (!call.whole && call.code != static_cast<int>(result_code::outcome_unknown)
+                && call.code != static_cast<int>(result_code::answer_not_kept)) {
+                report(violation_kind::key_stuck, fmt::format("{} ends with {}", call.key, call.code));
+            }
+        }
     }
 
     // Results.
@@ -771,8 +824,8 @@
     void carryOut(std::size_t /*index*/, const request::request_ended &action)
     {
         if (action.attempts > 1) {
-            ++counts.replaced;
-            counts.retried += action.attempts - 1;
+            ++counts.replaced[action.workspace];
+            counts.retried[action.workspace] += action.attempts - 1;
         }
     }
 
@@ -878,7 +931,6 @@
 
     void resendLater(const call_record &call)
     {
-        constexpr std::uint32_t mostResends = 4;
         if (call.key.empty() || call.gone || call.resends >= mostResends) {
             return;
         }
@@ -1132,6 +1184,7 @@
     std::uint64_t m_lastLife = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastRun = 0;
+    std::uint64_t m_firstProbe = 0;
     std::uint64_t m_revision = 0;
     std::uint64_t m_logIndex = 0;
     std::uint64_t m_forgedFence = 0;
@@ -1188,6 +1241,7 @@
         chosen.seed = seed;
         chosen.off = off;
         chosen.wordsDependOnRun = pick(2) == 0;
+        chosen.longAnswers = true;
         const std::size_t number = 1 + pick(3);
         for (std::size_t i = 0; i < number; ++i) {
             m_result.faults.push_back(static_cast<fault>(pick(faultNames.size())));
@@ -1218,6 +1272,9 @@
         m_loading = false;
         m_world->heal();
         m_world->runFor(seconds(10));
+        m_world->probeKeys();
+        m_world->runFor(seconds(6));
+        m_world->checkKeys();
         m_world->checkQuiet();
         m_result.counts = m_world->counts;
         m_result.violations = m_world->violations;
@@ -1294,14 +1351,11 @@
             }
             break;
         case fault::silent_link:
-            if (pick(2) == 0) {
-                all.silence(all.entries[entry].address, all.targets[target].address);
-            } else {
-                all.silence(all.targets[target].address, all.entries[entry].address);
-            }
+            silence(entry, target, length);
             break;
         case fault::cut_data_centre:
             all.cut(centre);
+            all.after(length + seconds(1), [&all, centre] { all.reconnect(centre); });
             break;
         case fault::take_out:
             all.setDataCentre(centre, false);
@@ -1335,6 +1389,19 @@
         }
     }
 
+    void silence(std::size_t entry, std::size_t target, duration length)
+    {
+        auto from = m_world->entries[entry].address;
+        auto to = m_world->targets[target].address;
+        if (pick(2) == 0) {
+            std::swap(from, to);
+        }
+        m_world->silence(from, to, true);
+        if (pick(2) == 0) {
+            m_world->after(length + seconds(1), [this, from, to] { m_world->silence(from, to, false); });
+        }
+    }
+
     void killForAWhile(std::size_t entry, duration length)
     {
         m_world->killEntry(entry);
--- a/test/pipeline-random-test.cc
+++ b/test/pipeline-random-test.cc
@@ -25,6 +25,31 @@
 
 constexpr std::uint64_t manyRuns = 60;
 
+/** Violations in a run in which no target reaches an entry for 1.8 s, while long answers are under way. */
+std::ptrdiff_t countAfterSilence(const switched_off &off, violation_kind kind)
+{
+    world_settings chosen;
+    chosen.off = off;
+    chosen.wordsDependOnRun = true;
+    chosen.pieceGap = milliseconds(200);
+    world all(chosen);
+    all.runFor(milliseconds(600));
+    const auto setSilent = [&all](bool silent) {
+        for (const auto &target : all.targets) {
+            all.silence(target.address, all.entries[0].address, silent);
+        }
+    };
+    for (int i = 0; i < 12; ++i) {
+        all.send(0, 0, seconds(20));
+    }
+    setSilent(true);
+    all.runFor(milliseconds(1800));
+    setSilent(false);
+    all.runFor(seconds(25));
+    CHECK(all.counts.whole > 0);
+    return std::ranges::count(all.violations, kind, &violation::kind);
+}
+
 } // namespace
 
 // Guards against any mix of faults that breaks a guarantee of the request path; seeds 1 to 40.
@@ -61,9 +86,10 @@
     SECTION("a stream that ignores the attempt")
     {
         // The earlier attempt has to go on for its pieces to arrive, so its cancel is dropped as well.
-        off.attemptOfPieces = true;
         off.cancelOfAttempts = true;
-        CHECK(isFound(off, violation_kind::answer_not_whole, 4 * manyRuns));
+        CHECK(countAfterSilence(off, violation_kind::answer_not_whole) == 0);
+        off.attemptOfPieces = true;
+        CHECK(countAfterSilence(off, violation_kind::answer_not_whole) > 0);
     }
     SECTION("a gate that runs what it should refuse")
     {
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -294,6 +294,7 @@
     const auto claim = find<propose>(test.booking("k1"));
     REQUIRE(claim.has_value());
     agreed::outcome held;
+    held.code = result_code::still_running;
     held.status = agreed::claim_status::held;
     held.record.attempt = { { 99 }, { 5 } };
     held.record.target = { "d1" };
@@ -336,12 +337,163 @@
         REQUIRE(released.has_value());
         CHECK(std::get<agreed::release_claim>(released->command).fence == fence_number { 4 });
         (void)test.step(proposal_decided { released->proposal, result_code::ok, {} });
-        const auto again = test.wait(std::chrono::seconds(1));
+        const auto again = test.wait(std::chrono::milliseconds(100));
         REQUIRE(find<propose>(again).has_value());
         CHECK(std::holds_alternative<agreed::claim_key>(find<propose>(again)->command));
+        agreed::outcome granted;
+        granted.status = agreed::claim_status::granted;
+        granted.fence = { 6 };
+        const auto sent = test.step(proposal_decided { find<propose>(again)->proposal, result_code::ok, granted });
+        const auto job = findMessage<dispatch>(sent);
+        REQUIRE(job.has_value());
+        (void)test.step(piece(job->attempt, 0, "booked"));
+        const auto settle = find<propose>(test.step(attempt_finished { job->attempt, result_code::ok, 1, {} }));
+        REQUIRE(settle.has_value());
+        const auto answer = test.step(proposal_decided { settle->proposal, result_code::ok, {} });
+        CHECK(find<reply>(answer)->body == "booked");
+    }
+    SECTION("no answer from its target before the deadline")
+    {
+        // Its own attempt was not run, but the other one with this key may have been.
+        test.now += std::chrono::seconds(31);
+        const auto answer = test.step(tick {});
+        REQUIRE(find<reply>(answer).has_value());
+        CHECK(headerOf(*find<reply>(answer), "X-Figcleat-Request") == "unknown");
     }
 }
 
+// Guards against a request that waits for its deadline because one message was lost.
+TEST_CASE("an attempt without progress is asked about", "[request]")
+{
+    bench test;
+    test.announceTarget("t1", "models");
+    const auto job = *findMessage<dispatch>(test.completion());
+    const auto keepAlive = [&test](duration time) {
+        std::vector<pipeline_action> all;
+        for (duration passed {}; passed < time; passed += std::chrono::milliseconds(500)) {
+            test.announceTarget("t1", "models");
+            for (auto &action : test.wait(std::chrono::milliseconds(500))) {
+                all.push_back(std::move(action));
+            }
+        }
+        return all;
+    };
+    const auto asked = findMessage<close_attempt>(keepAlive(std::chrono::milliseconds(2500)));
+    REQUIRE(asked.has_value());
+    CHECK(asked->attempt == job.attempt);
+
+    SECTION("never started, so it is placed again")
+    {
+        (void)test.step(attempt_closed { job.attempt, attempt_state::never_started, result_code::ok, 0, "", { 1 } });
+        const auto again = findMessage<dispatch>(keepAlive(std::chrono::seconds(1)));
+        REQUIRE(again.has_value());
+        CHECK(again->attempt != job.attempt);
+    }
+    SECTION("running, so it goes on")
+    {
+        (void)test.step(attempt_closed { job.attempt, attempt_state::running, result_code::ok, 0, "", { 1 } });
+        CHECK(streamed(test.step(piece(job.attempt, 0, "a"))) == "a");
+    }
+    SECTION("finished with its pieces lost, so it is run again")
+    {
+        const attempt_closed closed { job.attempt, attempt_state::finished, result_code::ok, 200, "", { 1 } };
+        (void)test.step(closed);
+        CHECK(findMessage<close_attempt>(keepAlive(std::chrono::milliseconds(500))).has_value());
+        (void)test.step(closed);
+        CHECK(findMessage<dispatch>(keepAlive(std::chrono::seconds(1))).has_value());
+    }
+}
+
+// Guards against a booking whose outcome is reported as unknown because the message with its end was lost.
+TEST_CASE("a claimed call that finished unnoticed is answered from its target's record", "[request]")
+{
+    bench test;
+    test.announceTarget("d1", "desk");
+    const auto claim = find<propose>(test.booking("k1"));
+    agreed::outcome granted;
+    granted.status = agreed::claim_status::granted;
+    granted.fence = { 9 };
+    const auto job = findMessage<dispatch>(test.step(proposal_decided { claim->proposal, result_code::ok, granted }));
+    REQUIRE(job.has_value());
+    const attempt_closed closed { job->attempt, attempt_state::finished, result_code::ok, 201, "booked", { 1 } };
+    CHECK_FALSE(find<propose>(test.step(closed)).has_value());
+    const auto settle = find<propose>(test.step(closed));
+    REQUIRE(settle.has_value());
+    CHECK(std::get<agreed::settle_claim>(settle->command).answer == "booked");
+    const auto answer = test.step(proposal_decided { settle->proposal, result_code::ok, {} });
+    CHECK(find<reply>(answer)->status == 201);
+    CHECK(find<reply>(answer)->body == "booked");
+}
+
+// Guards against keys that wait for the retry budget although no target was asked yet.
+TEST_CASE("claiming a key again after a release costs no retry", "[request]")
+{
+    bench test;
+    test.announceTarget("d1", "desk");
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        auto claim = find<propose>(test.booking("k" + std::to_string(i)));
+        for (std::uint64_t round = 0; round < 5; ++round) {
+            REQUIRE(claim.has_value());
+            agreed::outcome held;
+            held.code = result_code::still_running;
+            held.status = agreed::claim_status::held;
+            held.record.attempt = { { 99 }, { 10 * i + round } };
+            held.record.target = { "d1" };
+            held.record.targetIncarnation = { 1 };
+            held.record.fence = { 10 * i + round + 1 };
+            (void)test.step(proposal_decided { claim->proposal, result_code::ok, held });
+            const auto released = find<propose>(test.step(
+                attempt_closed { held.record.attempt, attempt_state::never_started, result_code::ok, 0, "", { 1 } }));
+            REQUIRE(released.has_value());
+            (void)test.step(proposal_decided { released->proposal, result_code::ok, {} });
+            test.announceTarget("d1", "desk");
+            claim = find<propose>(test.wait(std::chrono::milliseconds(200)));
+        }
+    }
+}
+
+// Guards against a second copy of a dispatch that ends the attempt which the first copy started.
+TEST_CASE("a duplicate dispatch does not disturb its attempt", "[request]")
+{
+    bench test;
+    test.announceTarget("t1", "models");
+    const auto job = *findMessage<dispatch>(test.completion());
+    (void)test.step(attempt_refused { job.attempt, result_code::duplicate_attempt, { 1 } });
+    CHECK(streamed(test.step(piece(job.attempt, 0, "a"))) == "a");
+}
+
+// Guards against a refusal while targets of other data centres have room.
+TEST_CASE("without a local target a request goes to another data centre", "[request]")
+{
+    bench test;
+    announce report;
+    report.target = { "far" };
+    report.service = { "models" };
+    report.model = { "m" };
+    report.dataCentre = { "south" };
+    report.incarnation = { 1 };
+    report.limit = report.spare = { { 4 }, { 100000 }, { 100000 } };
+    report.sequence = 1;
+    test.step(target_announced { { "far" }, report });
+    CHECK(findMessage<dispatch>(test.completion()).has_value());
+}
+
+// Guards against an answer in one piece that is lost because a second run uses other words.
+TEST_CASE("a call that is not streamed starts afresh on a second run", "[request]")
+{
+    bench test;
+    test.announceTarget("t1", "models");
+    const auto first = *findMessage<dispatch>(test.completion(false));
+    (void)test.step(piece(first.attempt, 0, "one two "));
+    test.announceTarget("t1", "models", 2);
+    const auto second = findMessage<dispatch>(test.wait(std::chrono::seconds(1)));
+    REQUIRE(second.has_value());
+    (void)test.step(piece(second->attempt, 0, "three"));
+    const auto answer = test.step(attempt_finished { second->attempt, result_code::ok, 1, {} });
+    REQUIRE(find<reply>(answer).has_value());
+    CHECK(find<reply>(answer)->body == "three");
+}
+
 // Guards against work that can run twice because nothing agreed on it.
 TEST_CASE("without agreement a call that may not be repeated is not run", "[request]")
 {
