Bound what a leader and a voter hold in memory

Cause: appended entries that cannot commit, trailing entries and answers that wait for a sync had bounds in entries or none. Change: bounds in bytes for uncommitted and trailing entries, a bound on held answers and on noted senders; every message of the harness is encoded and decoded; two tests.

--- a/include/figcleat/consensus/raft.h
+++ b/include/figcleat/consensus/raft.h
@@ -28,6 +28,12 @@
 inline constexpr std::size_t maxPendingProposals = 4096;
 /** Bytes of proposals not yet appended. */
 inline constexpr std::size_t maxWaitingBytes = std::size_t { 16 } * 1024 * 1024;
+/** Bytes of entries that a leader has appended but that are not committed; more proposals wait. */
+inline constexpr std::size_t maxUncommittedBytes = std::size_t { 16 } * 1024 * 1024;
+/** Bytes of entries kept in memory before the snapshot. */
+inline constexpr std::size_t maxTrailingBytes = std::size_t { 8 } * 1024 * 1024;
+/** Answers that wait for a sync; the oldest is dropped beyond it, like a message that the network loses. */
+inline constexpr std::size_t maxHeldSends = 1024;
 inline constexpr std::size_t maxPendingReads = 4096;
 /** Bytes of one proposal; an append message with it stays under `maxMessageBytes`. */
 inline constexpr std::size_t maxProposalBytes = std::size_t { 2 } * 1024 * 1024;
@@ -52,7 +58,7 @@
     /** A snapshot is taken after this many entries or bytes since the last one. */
     std::uint64_t snapshotEntries = 4096;
     std::uint64_t snapshotBytes = std::uint64_t { 16 } * 1024 * 1024;
-    /** Entries kept in memory before the snapshot, for followers that are a little behind. */
+    /** Entries kept in memory before the snapshot, up to `maxTrailingBytes`, for followers that are a little behind. */
     std::uint64_t trailingEntries = 512;
 };
 
--- a/src/consensus/clients.cc
+++ b/src/consensus/clients.cc
@@ -28,7 +28,8 @@
 /** Proposals that arrive while a batch is being synced form the next batch. */
 void raft_core::flushProposals()
 {
-    if (m_waiting.empty() || !m_unsynced.empty() || !quorumHeardWithin(quorumFreshness)) {
+    if (m_waiting.empty() || !m_unsynced.empty() || !quorumHeardWithin(quorumFreshness)
+        || m_log.exceeds(m_commit, maxPendingProposals, maxUncommittedBytes)) {
         return;
     }
     persist action;
--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -190,7 +190,7 @@
         halt(result_code::identity_mismatch, "the data folder is older than what this voter acknowledged");
         return;
     }
-    if (!m_standingUnknown) {
+    if (!m_standingUnknown || m_standingAnswers.size() >= maxKnownStandings) {
         return;
     }
     m_standingAnswers.insert(message.header.sender);
--- a/src/consensus/genesis.cc
+++ b/src/consensus/genesis.cc
@@ -68,7 +68,9 @@
 
 void raft_core::onGenesis(const peer_address &from, const genesis_answer &message)
 {
-    if (message.header.receiver != m_self || !m_log.members().members.empty()) {
+    const auto &voters = m_settings.voters;
+    const bool isListed = std::find(voters.begin(), voters.end(), from) != voters.end();
+    if (message.header.receiver != m_self || !isListed || !m_log.members().members.empty()) {
         return;
     }
     auto &answers = message.promise ? m_promised : m_empty;
--- a/src/consensus/memory-log.cc
+++ b/src/consensus/memory-log.cc
@@ -105,13 +105,18 @@
     std::erase_if(m_versions, [from](const auto &version) { return version.index >= from; });
 }
 
-void memory_log::compact(std::shared_ptr<const snapshot> base, std::uint64_t trailing)
+void memory_log::compact(std::shared_ptr<const snapshot> base, std::uint64_t trailing, std::size_t maxBytes)
 {
     for (auto index = std::max(m_base->index, m_before).next(); index <= base->index; index = index.next()) {
         m_bytes -= at(index).bytes.size();
     }
     m_base = std::move(base);
-    while (!m_entries.empty() && m_before.value + trailing < m_base->index.value) {
+    std::size_t kept = 0;
+    for (auto index = m_before.next(); index <= m_base->index; index = index.next()) {
+        kept += at(index).bytes.size();
+    }
+    while (m_before < m_base->index && (m_before.value + trailing < m_base->index.value || kept > maxBytes)) {
+        kept -= m_entries.front().bytes.size();
         m_before = m_entries.front().index;
         m_beforeTerm = m_entries.front().term;
         m_entries.pop_front();
@@ -148,6 +153,15 @@
     return std::prev(after)->members;
 }
 
+bool memory_log::exceeds(log_index index, std::size_t maxEntries, std::size_t maxBytes) const
+{
+    std::size_t bytes = 0;
+    for (auto one = index.next(); one <= last() && bytes <= maxBytes; one = one.next()) {
+        bytes += at(one).bytes.size();
+    }
+    return last().value - index.value > maxEntries || bytes > maxBytes;
+}
+
 std::uint64_t memory_log::bytesSinceSnapshot() const
 {
     return m_bytes;
--- a/src/consensus/memory-log.h
+++ b/src/consensus/memory-log.h
@@ -29,8 +29,8 @@
     void append(log_entry entry);
     /** Drops `from` and everything after it. */
     void truncate(log_index from);
-    /** Sets a snapshot of the log's own entries and keeps `trailing` entries before it. */
-    void compact(std::shared_ptr<const snapshot> base, std::uint64_t trailing);
+    /** Sets a snapshot of the log's own entries and keeps `trailing` entries before it, within `maxBytes`. */
+    void compact(std::shared_ptr<const snapshot> base, std::uint64_t trailing, std::size_t maxBytes);
     /** Replaces everything by a snapshot. */
     void reset(std::shared_ptr<const snapshot> base);
 
@@ -39,6 +39,8 @@
     [[nodiscard]] log_index membersIndex() const;
     /** Membership as of an index. */
     [[nodiscard]] membership membersAt(log_index index) const;
+    /** True if the entries after `index` number more than `maxEntries` or hold more than `maxBytes`. */
+    [[nodiscard]] bool exceeds(log_index index, std::size_t maxEntries, std::size_t maxBytes) const;
     /** Bytes of entries after the snapshot. */
     [[nodiscard]] std::uint64_t bytesSinceSnapshot() const;
 
--- a/src/consensus/raft-core.cc
+++ b/src/consensus/raft-core.cc
@@ -218,6 +218,9 @@
         return;
     }
     m_held.push_back({ m_unsynced.back().sequence, { to, std::move(message) } });
+    if (m_held.size() > maxHeldSends) {
+        m_held.pop_front();
+    }
 }
 
 /** No vote, promise or acknowledgement leaves before it is durable. */
--- a/src/consensus/snapshots.cc
+++ b/src/consensus/snapshots.cc
@@ -29,7 +29,7 @@
     persist action;
     action.base = base;
     save(std::move(action));
-    m_log.compact(std::move(base), m_settings.trailingEntries);
+    m_log.compact(std::move(base), m_settings.trailingEntries, maxTrailingBytes);
 }
 
 void raft_core::sendChunk(voter_identity who, follower_progress &peer)
--- a/test/raft-harness.h
+++ b/test/raft-harness.h
@@ -523,6 +523,9 @@
             delay = between(2500, 800000);
         }
         const auto number = ++m_messageNumber;
+        auto travelled = decode<raft_message>(encode(message));
+        check(travelled.has_value(), "a message does not survive encoding");
+        message = *std::move(travelled);
         weaken(message);
         schedule(delay, [this, from, to, number, message = std::move(message)] {
             auto &highest = m_delivered[{ from, to }];
--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -74,6 +74,20 @@
     (void)voter.step(receive { { "b" }, standing_answer { fromTwo({ 1 }), {}, {} } }, start);
 }
 
+/** Voter "a" of three, just elected in term 2 by "b"; its no-op at index 2 is not synced. */
+raft makeLeader(std::uint64_t &unsynced)
+{
+    auto voter = makeVoter();
+    makeStandingKnown(voter);
+    (void)voter.step(tick {}, start + 2s);
+    const auto votes = voter.step(receive { { "b" }, vote_answer { fromTwo({ 1 }), { 2 }, true, true } }, start + 2s);
+    (void)voter.step(synced { only<persist>(votes).back().sequence }, start + 2s);
+    const auto won = voter.step(receive { { "b" }, vote_answer { fromTwo({ 2 }), { 2 }, false, true } }, start + 2s);
+    REQUIRE(only<became_leader>(won).size() == 1);
+    unsynced = only<persist>(won).back().sequence;
+    return voter;
+}
+
 std::uint64_t commitOne(simulation &cluster)
 {
     const auto who = cluster.leader();
@@ -283,6 +297,39 @@
     CHECK(cluster.at(leader).log->status().term == term);
 }
 
+// Guards against a commit of an older term's entry that another leader may still replace.
+TEST_CASE("a leader commits older entries only with one of its own term", "[raft]")
+{
+    std::uint64_t unsynced = 0;
+    auto leader = makeLeader(unsynced);
+    (void)leader.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 1 }, {} } }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+    (void)leader.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 2 }, {} } }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+    (void)leader.step(synced { unsynced }, start + 2s);
+    CHECK(leader.status().commit == log_index { 2 });
+}
+
+// Guards against a read that is answered before this voter has applied what it must see.
+TEST_CASE("a read waits for the round and for the entries before it", "[raft]")
+{
+    std::uint64_t unsynced = 0;
+    auto voter = makeLeader(unsynced);
+    const auto later = start + 2s;
+    (void)voter.step(consensus::read { 7 }, later);
+    const auto committed = voter.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 2 }, {} } }, later);
+    CHECK(countSent<read_round>(committed) == 0);
+    // The other two commit the entry, but this voter has not synced it, so it is not applied here.
+    const append_answer fromThree { { { 9 }, { 3 }, { 1 }, { 2 } }, true, { 2 }, {} };
+    CHECK(countSent<read_round>(voter.step(receive { { "c" }, fromThree }, later)) == 2);
+    const auto answered = voter.step(receive { { "b" }, read_round_answer { fromTwo({ 2 }), 1 } }, later);
+    CHECK(only<reply_read>(answered).empty());
+    const auto done = only<reply_read>(voter.step(synced { unsynced }, later));
+    REQUIRE(done.size() == 1);
+    CHECK(done[0].code == result_code::ok);
+    CHECK(done[0].index == log_index { 2 });
+}
+
 // Guards against memory that grows without a bound while the disk or a quorum is slow.
 TEST_CASE("the queue of proposals is bounded", "[raft]")
 {
