--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -1,3 +1,4 @@
+#include "../src/consensus/memory-log.h"
 #include "figcleat/core/log.h"
 #include "raft-harness.h"
 
@@ -344,6 +345,40 @@
     CHECK(large[0].code == result_code::message_too_large);
 }
 
+// Guards against the same where a quorum answers heartbeats but commits nothing.
+TEST_CASE("uncommitted entries are bounded", "[raft]")
+{
+    std::uint64_t sequence = 0;
+    auto leader = makeLeader(sequence);
+    const std::uint64_t fitting = maxUncommittedBytes / maxProposalBytes;
+    for (std::uint64_t id = 0; id < 2 * fitting; ++id) {
+        (void)leader.step(synced { sequence }, start + 2s);
+        const auto written
+            = only<persist>(leader.step(consensus::propose { id, std::string(maxProposalBytes, 'x') }, start + 2s));
+        sequence = written.empty() ? sequence : written.back().sequence;
+    }
+    CHECK(leader.status().last.value <= 2 + fitting + 1);
+}
+
+// Guards against the same through answers that wait for a slow disk, and through entries kept for slow followers.
+TEST_CASE("held answers and trailing entries are bounded", "[raft]")
+{
+    auto voter = makeVoter();
+    std::uint64_t sequence = 0;
+    for (std::size_t i = 0; i < 2 * maxHeldSends; ++i) {
+        const auto actions = voter.step(receive { { "b" }, entryFromTwo({ 2 }, { 2 }, { 1 }, "x") }, start);
+        sequence = only<persist>(actions).empty() ? sequence : only<persist>(actions).back().sequence;
+    }
+    CHECK(countSent<append_answer>(voter.step(synced { sequence }, start)) == maxHeldSends);
+
+    memory_log log({}, {});
+    for (std::uint64_t index = 1; index <= 20; ++index) {
+        log.append({ { index }, { 1 }, entry_kind::command, std::string(100, 'x') });
+    }
+    log.compact(std::make_shared<const snapshot>(snapshot { { 20 }, { 1 }, {}, {} }), 1000, 450);
+    CHECK(log.first() == log_index { 17 });
+}
+
 // Guards against one sync and one message per proposal under load.
 TEST_CASE("proposals that arrive during a sync share the next one", "[raft]")
 {
@@ -351,12 +386,18 @@
     cluster.runFor(3s);
     const auto leader = *cluster.leader();
     const auto before = cluster.at(leader).disk->syncs;
+    std::size_t appends = 0;
+    cluster.onSend = [&appends](std::size_t, const consensus::send &sent) {
+        const auto *request = std::get_if<append_request>(&sent.message);
+        appends += request != nullptr && !request->entries.empty() ? 1 : 0;
+    };
     for (int i = 0; i < 500; ++i) {
         cluster.proposeAt(leader);
     }
     cluster.runFor(200ms);
     CHECK(cluster.report().acknowledged == 500);
     CHECK(cluster.at(leader).disk->syncs - before <= 6);
+    CHECK(appends <= 16);
 }
 
 // Guards against a lost folder that votes under its old identity or never gets its seat back.
@@ -381,6 +422,29 @@
     commitOne(cluster);
 }
 
+// Guards against a new folder that waits for ever because the entry with its seat was lost with the leader.
+TEST_CASE("a learner whose seat was lost asks again", "[raft]")
+{
+    simulation cluster(calm(9));
+    cluster.runFor(3s);
+    const auto leader = *cluster.leader();
+    const auto lost = (leader + 1) % 5;
+    cluster.loseDisk(lost);
+    cluster.runFor(100ms);
+    for (std::size_t other = 0; other < 5; ++other) {
+        if (other != lost) {
+            cluster.cut(leader, other, 1h);
+        }
+    }
+    cluster.start(lost);
+    cluster.runFor(300ms);
+    REQUIRE(cluster.at(lost).log->status().role == raft_role::learner);
+    cluster.kill(leader);
+    cluster.runFor(6s);
+    CHECK(cluster.at(lost).log->status().role == raft_role::follower);
+    commitOne(cluster);
+}
+
 // Guards against a membership change that stops the log.
 TEST_CASE("a voter is added and the leader removed", "[raft]")
 {
