Let a halted voter set its folder aside

Cause: a voter whose folder is an older copy halts; it needs a new folder, and the old one should stay for operators. Change: setAside(path) renames the folder; tests for it and for answers of identities that hold no seat.

--- a/include/figcleat/consensus/log-store.h
+++ b/include/figcleat/consensus/log-store.h
@@ -31,6 +31,14 @@
 /** Opens a folder of the file system and creates it if needed. */
 [[nodiscard]] expected<std::unique_ptr<data_folder>> openFolder(const std::string &path);
 
+/**
+ * Renames a folder that must not be used again to an unused name beside it, which is returned.
+ *
+ * For a voter that halted with `identity_mismatch`: the next start makes a new folder with a new identity, which the
+ * cluster takes in as a learner.
+ */
+[[nodiscard]] expected<std::string> setAside(const std::string &path);
+
 /** Bytes of a log segment after which a new one is started. */
 inline constexpr std::uint64_t segmentBytes = std::uint64_t { 8 } * 1024 * 1024;
 
--- a/src/consensus/data-folder.cc
+++ b/src/consensus/data-folder.cc
@@ -171,4 +171,22 @@
     return std::make_unique<file_folder>(path);
 }
 
+expected<std::string> setAside(const std::string &path)
+{
+    constexpr int maxNames = 1000;
+    std::error_code problem;
+    for (int number = 1; number <= maxNames; ++number) {
+        const auto name = path + ".set-aside-" + std::to_string(number);
+        if (fs::exists(name, problem)) {
+            continue;
+        }
+        fs::rename(path, name, problem);
+        if (problem) {
+            return failed(path, problem.value());
+        }
+        return file_folder::syncPath(fs::absolute(path).parent_path().string()).map([&] { return name; });
+    }
+    return failed(path, EEXIST);
+}
+
 } // namespace figcleat::consensus
--- a/test/log-store-test.cc
+++ b/test/log-store-test.cc
@@ -286,6 +286,15 @@
         REQUIRE(store->sync().has_value());
         REQUIRE(store->write(snapshotAt(1 + 2 * round, false)).has_value());
     }
+    // An older copy that was set aside must not lend its identity to the next start.
+    const auto aside = setAside(path);
+    REQUIRE(aside.has_value());
+    CHECK(std::filesystem::exists(*aside + "/identity"));
+    auto anew = log_store::open(std::move(*openFolder(path)), { 90 });
+    REQUIRE(anew.has_value());
+    const auto restored = anew->takeRestored();
+    CHECK(restored.identity == voter_identity { 90 });
+    CHECK(restored.entries.empty());
     CHECK_FALSE(openFolder("/proc/no-such-folder").has_value());
     std::filesystem::remove_all(pattern);
 }
--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -145,6 +145,22 @@
     CHECK(voter.step(receive { { "b" }, message }, start).empty());
 }
 
+// Guards against votes and acknowledgements of processes that hold no seat.
+TEST_CASE("answers of an unknown identity are not counted", "[raft]")
+{
+    const message_header unknown { { 9 }, { 8 }, { 1 }, { 1 } };
+    auto voter = makeVoter();
+    makeStandingKnown(voter);
+    (void)voter.step(tick {}, start + 2s);
+    CHECK(voter.step(receive { { "b" }, vote_answer { unknown, { 2 }, true, true } }, start + 2s).empty());
+    std::uint64_t unsynced = 0;
+    auto leader = makeLeader(unsynced);
+    const message_header late { { 9 }, { 8 }, { 1 }, { 2 } };
+    (void)leader.step(receive { { "b" }, append_answer { late, true, { 2 }, {} } }, start + 2s);
+    (void)leader.step(synced { unsynced }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+}
+
 // Guards against a voter that goes on with a log that contradicts what was committed.
 TEST_CASE("replacing a committed entry and a second leader in a term are violations", "[raft]")
 {
