--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -1,3 +1,4 @@
+#include "../src/consensus/memory-log.h"
 #include "figcleat/core/log.h"
 #include "raft-harness.h"
 
@@ -74,6 +75,20 @@
     (void)voter.step(receive { { "b" }, standing_answer { fromTwo({ 1 }), {}, {} } }, start);
 }
 
+/** Voter "a" of three, just elected in term 2 by "b"; its no-op at index 2 is not synced. */
+raft makeLeader(std::uint64_t &unsynced)
+{
+    auto voter = makeVoter();
+    makeStandingKnown(voter);
+    (void)voter.step(tick {}, start + 2s);
+    const auto votes = voter.step(receive { { "b" }, vote_answer { fromTwo({ 1 }), { 2 }, true, true } }, start + 2s);
+    (void)voter.step(synced { only<persist>(votes).back().sequence }, start + 2s);
+    const auto won = voter.step(receive { { "b" }, vote_answer { fromTwo({ 2 }), { 2 }, false, true } }, start + 2s);
+    REQUIRE(only<became_leader>(won).size() == 1);
+    unsynced = only<persist>(won).back().sequence;
+    return voter;
+}
+
 std::uint64_t commitOne(simulation &cluster)
 {
     const auto who = cluster.leader();
@@ -130,6 +145,22 @@
     CHECK(voter.step(receive { { "b" }, message }, start).empty());
 }
 
+// Guards against votes and acknowledgements of processes that hold no seat.
+TEST_CASE("answers of an unknown identity are not counted", "[raft]")
+{
+    const message_header unknown { { 9 }, { 8 }, { 1 }, { 1 } };
+    auto voter = makeVoter();
+    makeStandingKnown(voter);
+    (void)voter.step(tick {}, start + 2s);
+    CHECK(voter.step(receive { { "b" }, vote_answer { unknown, { 2 }, true, true } }, start + 2s).empty());
+    std::uint64_t unsynced = 0;
+    auto leader = makeLeader(unsynced);
+    const message_header late { { 9 }, { 8 }, { 1 }, { 2 } };
+    (void)leader.step(receive { { "b" }, append_answer { late, true, { 2 }, {} } }, start + 2s);
+    (void)leader.step(synced { unsynced }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+}
+
 // Guards against a voter that goes on with a log that contradicts what was committed.
 TEST_CASE("replacing a committed entry and a second leader in a term are violations", "[raft]")
 {
@@ -283,6 +314,39 @@
     CHECK(cluster.at(leader).log->status().term == term);
 }
 
+// Guards against a commit of an older term's entry that another leader may still replace.
+TEST_CASE("a leader commits older entries only with one of its own term", "[raft]")
+{
+    std::uint64_t unsynced = 0;
+    auto leader = makeLeader(unsynced);
+    (void)leader.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 1 }, {} } }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+    (void)leader.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 2 }, {} } }, start + 2s);
+    CHECK(leader.status().commit == log_index {});
+    (void)leader.step(synced { unsynced }, start + 2s);
+    CHECK(leader.status().commit == log_index { 2 });
+}
+
+// Guards against a read that is answered before this voter has applied what it must see.
+TEST_CASE("a read waits for the round and for the entries before it", "[raft]")
+{
+    std::uint64_t unsynced = 0;
+    auto voter = makeLeader(unsynced);
+    const auto later = start + 2s;
+    (void)voter.step(consensus::read { 7 }, later);
+    const auto committed = voter.step(receive { { "b" }, append_answer { fromTwo({ 2 }), true, { 2 }, {} } }, later);
+    CHECK(countSent<read_round>(committed) == 0);
+    // The other two commit the entry, but this voter has not synced it, so it is not applied here.
+    const append_answer fromThree { { { 9 }, { 3 }, { 1 }, { 2 } }, true, { 2 }, {} };
+    CHECK(countSent<read_round>(voter.step(receive { { "c" }, fromThree }, later)) == 2);
+    const auto answered = voter.step(receive { { "b" }, read_round_answer { fromTwo({ 2 }), 1 } }, later);
+    CHECK(only<reply_read>(answered).empty());
+    const auto done = only<reply_read>(voter.step(synced { unsynced }, later));
+    REQUIRE(done.size() == 1);
+    CHECK(done[0].code == result_code::ok);
+    CHECK(done[0].index == log_index { 2 });
+}
+
 // Guards against memory that grows without a bound while the disk or a quorum is slow.
 TEST_CASE("the queue of proposals is bounded", "[raft]")
 {
@@ -297,6 +361,40 @@
     CHECK(large[0].code == result_code::message_too_large);
 }
 
+// Guards against the same where a quorum answers heartbeats but commits nothing.
+TEST_CASE("uncommitted entries are bounded", "[raft]")
+{
+    std::uint64_t sequence = 0;
+    auto leader = makeLeader(sequence);
+    const std::uint64_t fitting = maxUncommittedBytes / maxProposalBytes;
+    for (std::uint64_t id = 0; id < 2 * fitting; ++id) {
+        (void)leader.step(synced { sequence }, start + 2s);
+        const auto written
+            = only<persist>(leader.step(consensus::propose { id, std::string(maxProposalBytes, 'x') }, start + 2s));
+        sequence = written.empty() ? sequence : written.back().sequence;
+    }
+    CHECK(leader.status().last.value <= 2 + fitting + 1);
+}
+
+// Guards against the same through answers that wait for a slow disk, and through entries kept for slow followers.
+TEST_CASE("held answers and trailing entries are bounded", "[raft]")
+{
+    auto voter = makeVoter();
+    std::uint64_t sequence = 0;
+    for (std::size_t i = 0; i < 2 * maxHeldSends; ++i) {
+        const auto actions = voter.step(receive { { "b" }, entryFromTwo({ 2 }, { 2 }, { 1 }, "x") }, start);
+        sequence = only<persist>(actions).empty() ? sequence : only<persist>(actions).back().sequence;
+    }
+    CHECK(countSent<append_answer>(voter.step(synced { sequence }, start)) == maxHeldSends);
+
+    memory_log log({}, {});
+    for (std::uint64_t index = 1; index <= 20; ++index) {
+        log.append({ { index }, { 1 }, entry_kind::command, std::string(100, 'x') });
+    }
+    log.compact(std::make_shared<const snapshot>(snapshot { { 20 }, { 1 }, {}, {} }), 1000, 450);
+    CHECK(log.first() == log_index { 17 });
+}
+
 // Guards against one sync and one message per proposal under load.
 TEST_CASE("proposals that arrive during a sync share the next one", "[raft]")
 {
@@ -304,12 +402,18 @@
     cluster.runFor(3s);
     const auto leader = *cluster.leader();
     const auto before = cluster.at(leader).disk->syncs;
+    std::size_t appends = 0;
+    cluster.onSend = [&appends](std::size_t, const consensus::send &sent) {
+        const auto *request = std::get_if<append_request>(&sent.message);
+        appends += request != nullptr && !request->entries.empty() ? 1 : 0;
+    };
     for (int i = 0; i < 500; ++i) {
         cluster.proposeAt(leader);
     }
     cluster.runFor(200ms);
     CHECK(cluster.report().acknowledged == 500);
     CHECK(cluster.at(leader).disk->syncs - before <= 6);
+    CHECK(appends <= 16);
 }
 
 // Guards against a lost folder that votes under its old identity or never gets its seat back.
@@ -334,6 +438,29 @@
     commitOne(cluster);
 }
 
+// Guards against a new folder that waits for ever because the entry with its seat was lost with the leader.
+TEST_CASE("a learner whose seat was lost asks again", "[raft]")
+{
+    simulation cluster(calm(9));
+    cluster.runFor(3s);
+    const auto leader = *cluster.leader();
+    const auto lost = (leader + 1) % 5;
+    cluster.loseDisk(lost);
+    cluster.runFor(100ms);
+    for (std::size_t other = 0; other < 5; ++other) {
+        if (other != lost) {
+            cluster.cut(leader, other, 1h);
+        }
+    }
+    cluster.start(lost);
+    cluster.runFor(300ms);
+    REQUIRE(cluster.at(lost).log->status().role == raft_role::learner);
+    cluster.kill(leader);
+    cluster.runFor(6s);
+    CHECK(cluster.at(lost).log->status().role == raft_role::follower);
+    commitOne(cluster);
+}
+
 // Guards against a membership change that stops the log.
 TEST_CASE("a voter is added and the leader removed", "[raft]")
 {
