Predict the work of other entries in a placement

Cause: entries that share a lagging report sent to the same targets. Change: the spare capacity is corrected by the change of the entry's own work, times the number of entries that the report lets assume. Targets that are predicted to be full are passed over while others have room, but a prediction never makes a request leave its data centre.

--- a/include/figcleat/placement/table.h
+++ b/include/figcleat/placement/table.h
@@ -80,7 +80,9 @@
     /** Limit less reported work, corrected by what this entry has begun and ended since. */
     work_cost spare;
     work_cost reported;
+    /** This entry's own work, now and when the report arrived. */
     work_cost outstanding;
+    work_cost outstandingAtReport;
     duration age {};
     /** Time between pieces of the slowest rank; 0 if unknown. */
     std::uint64_t pieceGapMicros = 0;
--- a/src/placement/choose.cc
+++ b/src/placement/choose.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 
 namespace figcleat::placement
 {
@@ -68,6 +69,22 @@
     return smallest;
 }
 
+/**
+ * Spare capacity now, if the others have changed their work since the report as this entry has.
+ *
+ * Without this, entries that share a lagging report all send to the same targets.
+ */
+double predictedHeadroom(const candidate &one, const work_cost &cost)
+{
+    constexpr double mostEntries = 16;
+    const auto own = one.outstandingAtReport.requests.count;
+    const double entries = own <= 0
+        ? 1.0
+        : std::clamp(static_cast<double>(one.reported.requests.count) / static_cast<double>(own), 1.0, mostEntries);
+    const auto change = static_cast<double>(one.outstanding.requests.count - one.outstandingAtReport.requests.count);
+    return headroom(one.spare, cost) - (entries - 1) * change;
+}
+
 const candidate &pickBySpare(const candidate_list &from, const work_cost &cost, duration halfLife,
                              std::mt19937_64 &random)
 {
@@ -77,7 +94,7 @@
         const double slowness = gap == 0 || one.pieceGapMicros == 0
             ? 1.0
             : static_cast<double>(one.pieceGapMicros) / static_cast<double>(gap);
-        return headroom(one.spare, cost) * std::exp2(-halvings) / slowness;
+        return predictedHeadroom(one, cost) * std::exp2(-halvings) / slowness;
     });
 }
 
@@ -138,6 +155,15 @@
     return result;
 }
 
+/** Those that are predicted to have room; all of them if none is, since a prediction is no reason to spill. */
+candidate_list withPredictedRoom(const candidate_list &from, const work_cost &cost)
+{
+    candidate_list result;
+    std::ranges::copy_if(from, std::back_inserter(result),
+                         [&](const candidate *one) { return predictedHeadroom(*one, cost) >= 1.0; });
+    return result.empty() ? from : result;
+}
+
 choice choiceOf(const candidate &one, bool hasRoom)
 {
     return target_choice { one.target, one.address, one.incarnation, hasRoom };
@@ -153,12 +179,12 @@
 
     const auto local = select(all, [&](const candidate &one) { return one.local && hasRoom(one); });
     if (!local.empty()) {
-        return choiceOf(pick(local, request, how, random), true);
+        return choiceOf(pick(withPredictedRoom(local, request.cost), request, how, random), true);
     }
     const auto remote
         = select(all, [&](const candidate &one) { return !one.local && request.maySpill && hasRoom(one); });
     if (!remote.empty()) {
-        return choiceOf(pick(remote, request, how, random), true);
+        return choiceOf(pick(withPredictedRoom(remote, request.cost), request, how, random), true);
     }
     const auto entries = request.maySpill ? targets.spillEntries(now) : std::vector<spill_entry> {};
     if (!entries.empty()) {
--- a/src/placement/table.cc
+++ b/src/placement/table.cc
@@ -188,6 +188,7 @@
     result.limit = report.limit;
     result.reported = difference(report.limit, report.spare);
     result.outstanding = known.outstanding;
+    result.outstandingAtReport = known.outstandingAtReport;
     result.age = now - known.heardAt;
     result.pieceGapMicros = report.pieceGapMicros;
     if (!report.group.empty() && !takeGroupInto(result, known, now)) {
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -136,6 +136,24 @@
     CHECK_FALSE(f.chooseMany().contains("a"));
 }
 
+// Guards against many entries that all send to the target that the same late report shows as free.
+TEST_CASE("the others are expected to do what this entry does", "[placement]")
+{
+    fixture f;
+    f.subject.heard(report("a", 9), { "a:1" }, f.now);
+    f.subject.began({ "a" }, { 1 }, oneRequest);
+    f.sequence = 1;
+    f.hear(report("a", 6));
+    f.hear(report("b", 2));
+    CHECK(f.chooseMany().contains("a"));
+    for (int i = 0; i < 2; ++i) {
+        f.subject.began({ "a" }, { 1 }, oneRequest);
+    }
+    CHECK(f.chooseMany() == std::map<std::string, int> { { "b", 300 } });
+    f.request.excluded = { { "b" } };
+    CHECK(f.chooseOnce() == "a");
+}
+
 // Guards against work that leaves its data centre without need, and against refusals while others have room.
 TEST_CASE("other data centres get work only by need", "[placement]")
 {
