--- /dev/null
+++ b/src/group/order-queue.cc
@@ -0,0 +1,164 @@
+#include "figcleat/group/order-queue.h"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+namespace figcleat::group
+{
+
+order_queue::order_queue(const order_settings &settings, store_share &store)
+    : m_settings(settings)
+    , m_store(store)
+{
+}
+
+std::vector<order_action> order_queue::step(const order_event &event, time_point now)
+{
+    m_now = now;
+    m_actions.clear();
+    std::visit([this](const auto &held) { on(held); }, event);
+    advance();
+    return std::move(m_actions);
+}
+
+std::size_t order_queue::size() const
+{
+    return m_entries.size();
+}
+
+void order_queue::on(const order_submitted &event)
+{
+    const engine_order order { m_fence, {}, event.target, event.kind, event.subject, event.bytes };
+    if (m_entries.size() >= m_settings.most) {
+        m_actions.emplace_back(order_settled { order, result_code::queue_full });
+        return;
+    }
+    m_entries.push_back({ order });
+}
+
+void order_queue::on(const order_answered &event)
+{
+    const auto &answer = event.answer;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const auto &entry = m_entries[i];
+        if (entry.started && entry.order.number == answer.number && entry.order.fence == answer.fence
+            && entry.order.target == answer.target) {
+            return settle(i, answer.code);
+        }
+    }
+}
+
+/** Orders that were sent in an earlier term may have been carried out; they are not sent again under a new number. */
+void order_queue::on(const order_term &event)
+{
+    if (event.fence <= m_fence) {
+        return;
+    }
+    for (std::size_t i = m_entries.size(); i-- > 0;) {
+        if (m_entries[i].started) {
+            settle(i, result_code::outcome_unknown);
+        }
+    }
+    m_fence = event.fence;
+    m_next = std::max(m_next, event.next);
+}
+
+void order_queue::on(const order_tick & /*event*/)
+{
+    for (std::size_t i = m_entries.size(); i-- > 0;) {
+        auto &entry = m_entries[i];
+        if (!entry.started) {
+            continue;
+        }
+        if (m_now > entry.startedAt + m_settings.timeout) {
+            settle(i, result_code::outcome_unknown);
+        } else if (m_now >= entry.sentAt + m_settings.resendEvery) {
+            entry.sentAt = m_now;
+            m_actions.emplace_back(send_order { entry.order });
+        }
+    }
+}
+
+void order_queue::settle(std::size_t index, result_code code)
+{
+    m_actions.emplace_back(order_settled { m_entries[index].order, code });
+    m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void order_queue::advance()
+{
+    if (m_fence == fence_number {}) {
+        return;
+    }
+    std::set<target_id> busy;
+    bool storeFree = true;
+    for (auto &entry : m_entries) {
+        const bool first = busy.insert(entry.order.target).second;
+        if (entry.started || !first) {
+            continue;
+        }
+        // A later order that needs less must not overtake one that waits for its bytes, or that would wait forever.
+        const bool loads = entry.order.bytes.count > 0;
+        if (!loads || (storeFree && m_store.spend(m_settings.claimant, entry.order.bytes))) {
+            start(entry);
+        } else {
+            storeFree = false;
+        }
+    }
+    const auto wanted
+        = std::accumulate(m_entries.begin(), m_entries.end(), byte_count {}, [](byte_count sum, const entry &next) {
+              return next.started ? sum : sum + next.order.bytes;
+          });
+    m_store.want(m_settings.claimant, wanted - m_store.granted(m_settings.claimant));
+}
+
+void order_queue::start(entry &next)
+{
+    m_next = m_next.next();
+    next.order.fence = m_fence;
+    next.order.number = m_next;
+    next.started = true;
+    next.startedAt = m_now;
+    next.sentAt = m_now;
+    m_actions.emplace_back(send_order { next.order });
+}
+
+void order_gate::raiseFloor(fence_number fence)
+{
+    m_floor = std::max(m_floor, fence);
+}
+
+order_gate::decision order_gate::receive(const engine_order &order)
+{
+    const auto refuse = [&](result_code code) {
+        return decision { verdict::refused, order_answer { order.target, order.fence, order.number, code } };
+    };
+    if (order.fence < m_floor) {
+        return refuse(result_code::stale_fence);
+    }
+    m_floor = order.fence;
+    if (m_last && order.number <= m_last->number) {
+        if (order.number == m_last->number && order.fence == m_last->fence) {
+            return { verdict::repeated, m_answer };
+        }
+        return refuse(result_code::attempt_closed);
+    }
+    if (m_last && !m_answer) {
+        return refuse(result_code::still_running);
+    }
+    m_last = order;
+    m_answer.reset();
+    return { verdict::run, std::nullopt };
+}
+
+std::optional<order_answer> order_gate::finished(result_code code)
+{
+    if (!m_last || m_answer) {
+        return std::nullopt;
+    }
+    m_answer = order_answer { m_last->target, m_last->fence, m_last->number, code };
+    return m_answer;
+}
+
+} // namespace figcleat::group
