--- a/include/figcleat/group/planner.h
+++ b/include/figcleat/group/planner.h
@@ -31,6 +31,11 @@
     byte_count byteBudget { 60'000'000'000 };
     /** Share of the step time that is lost while any rank loads; the ranks advance in lock-step. */
     double loadingSlowdown = 0.1;
+    /**
+     * Factor on the serving time that loading takes, for the others who wait for the same store meanwhile. Chosen on
+     * the curve in docs/rebalancing.md.
+     */
+    double storePrice = 3;
     /** Share of the step time that is proportional to the load of the busiest rank. */
     double expertShare = 0.6;
     /** Longest time for which a map is taken to be of use. */
@@ -51,7 +56,7 @@
     byte_count bytes;
     /** Serving time that the new map saves over its life, in seconds. */
     double gainSeconds = 0;
-    /** Serving time that loading takes, in seconds. */
+    /** Serving time that loading takes, in seconds, at the price of the store. */
     double costSeconds = 0;
 };
 
--- a/src/group/planner.cc
+++ b/src/group/planner.cc
@@ -626,7 +626,8 @@
 void take(const std::vector<segment> &segments, const plan_limits &limits, std::vector<layer_plan> &plans,
           plan_result &result)
 {
-    const double costPerReplica = limits.loadingSlowdown * static_cast<double>(limits.bytesPerExpert.count)
+    const double costPerReplica = limits.loadingSlowdown * limits.storePrice
+        * static_cast<double>(limits.bytesPerExpert.count)
         / static_cast<double>(std::max<std::int64_t>(limits.storeBytesPerSecond.count, 1));
     for (const auto &next : segments) {
         const double cost = costPerReplica * static_cast<double>(next.replicas);
