--- a/include/figcleat/daemon/control-node.h
+++ b/include/figcleat/daemon/control-node.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <unordered_map>
 
 namespace figcleat
@@ -52,7 +53,10 @@
     [[nodiscard]] consensus::raft_status status() const;
 
 private:
-    control_node(consensus::log_store store, agreed::state initial, parts wiring);
+    control_node(const control_settings &settings, const peer_address &self, std::uint64_t random, parts wiring);
+    /** Reads the data folder and starts the log from it. */
+    [[nodiscard]] expected<void> reopen();
+    void reopenIfHalted();
 
     void step(const consensus::raft_event &event);
     void flush();
@@ -70,7 +74,13 @@
     [[nodiscard]] std::uint64_t add(answer_function answer);
 
     parts m_parts;
-    consensus::log_store m_store;
+    std::string m_dataFolder;
+    std::mt19937_64 m_random;
+    consensus::raft_settings m_log;
+    /** Empty while the data folder cannot be opened. */
+    std::optional<consensus::log_store> m_store;
+    std::optional<time_point> m_reopenAt;
+    result_code m_haltCode = result_code::ok;
     agreed::state m_state;
     std::optional<consensus::raft> m_raft;
     event *m_flush = nullptr;
--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -90,6 +90,8 @@
 
     void submit(agreed::command command, decision_function decide);
     void answerProposal(const peer_address &to, std::uint64_t id, result_code code, const agreed::outcome &result);
+    /** Leader that this voter follows; empty if there is none. */
+    [[nodiscard]] peer_address ownLeader() const;
     [[nodiscard]] peer_address leaderHint() const;
     [[nodiscard]] nlohmann::json controlStatus() const;
     [[nodiscard]] nlohmann::json targetStatus() const;
--- a/src/daemon/control-node.cc
+++ b/src/daemon/control-node.cc
@@ -11,6 +11,8 @@
 
 // Proposals are answered in the step that applies them, so few outcomes wait.
 constexpr std::size_t maxOutcomesKept = 1024;
+// A full disk is tried again after this time.
+constexpr duration reopenPause = std::chrono::seconds(2);
 constexpr duration expiryPeriod = std::chrono::minutes(1);
 
 auto logger()
@@ -23,11 +25,33 @@
 expected<std::unique_ptr<control_node>> control_node::open(const control_settings &settings, const peer_address &self,
                                                            std::uint64_t random, parts wiring)
 {
-    auto folder = consensus::openFolder(settings.dataFolder);
+    auto opened = std::unique_ptr<control_node>(new control_node(settings, self, random, std::move(wiring)));
+    if (const auto done = opened->reopen(); !done) {
+        return tl::unexpected<error>(done.error());
+    }
+    return opened;
+}
+
+control_node::control_node(const control_settings &settings, const peer_address &self, std::uint64_t random,
+                           parts wiring)
+    : m_parts(std::move(wiring))
+    , m_dataFolder(settings.dataFolder)
+    , m_random(random)
+{
+    m_log.self = self;
+    m_log.voters = settings.voters;
+    m_log.seed = random;
+    m_flush = m_parts.eventLoop->deferred([this] { flush(); });
+}
+
+expected<void> control_node::reopen()
+{
+    m_store.reset();
+    auto folder = consensus::openFolder(m_dataFolder);
     if (!folder) {
         return tl::unexpected<error>(folder.error());
     }
-    auto store = consensus::log_store::open(std::move(*folder), consensus::voter_identity { random | 1U });
+    auto store = consensus::log_store::open(std::move(*folder), consensus::voter_identity{m_random() | 1U});
     if (!store) {
         return tl::unexpected<error>(store.error());
     }
@@ -35,32 +59,44 @@
         logger()->warn("The last record was torn; {} bytes are cut ({}).", store->tornBytes(),
                        static_cast<int>(result_code::log_tail_torn));
     }
-    consensus::raft_settings log;
-    log.self = self;
-    log.voters = settings.voters;
-    log.seed = random;
     auto restored = store->takeRestored();
     agreed::state initial;
-    if (restored.base.index != log_index {}) {
+    if (restored.base.index != log_index{}) {
         auto decoded = agreed::state::restore(restored.base.bytes);
         if (!decoded) {
             return tl::unexpected<error>(decoded.error());
         }
         initial = std::move(*decoded);
     }
-    auto opened
-        = std::unique_ptr<control_node>(new control_node(std::move(*store), std::move(initial), std::move(wiring)));
-    opened->m_raft.emplace(std::move(log), std::move(restored), opened->m_parts.time->now());
-    opened->announceIfChanged();
-    return opened;
+    m_store.emplace(std::move(*store));
+    m_state = std::move(initial);
+    m_unsynced = 0;
+    m_outcomes.clear();
+    m_raft.emplace(m_log, std::move(restored), m_parts.time->now());
+    announceIfChanged();
+    return {};
 }
 
-control_node::control_node(consensus::log_store store, agreed::state initial, parts wiring)
-    : m_parts(std::move(wiring))
-    , m_store(std::move(store))
-    , m_state(std::move(initial))
+void control_node::reopenIfHalted()
 {
-    m_flush = m_parts.eventLoop->deferred([this] { flush(); });
+    if (!m_reopenAt || m_parts.time->now() < *m_reopenAt) {
+        return;
+    }
+    m_reopenAt.reset();
+    if (m_haltCode == result_code::identity_mismatch) {
+        if (const auto done = consensus::setAside(m_dataFolder); !done) {
+            logger()->error("The data folder cannot be set aside: {}.", done.error().detail);
+            m_reopenAt = m_parts.time->now() + reopenPause;
+            return;
+        }
+    }
+    if (const auto done = reopen(); !done) {
+        logger()->error("The data folder cannot be opened: {} ({}).", done.error().detail,
+                        static_cast<int>(done.error().code));
+        m_reopenAt = m_parts.time->now() + reopenPause;
+        return;
+    }
+    logger()->info("The data folder is open again.");
 }
 
 const agreed::state &control_node::state() const
@@ -108,6 +144,7 @@
 
 void control_node::tick()
 {
+    reopenIfHalted();
     step(consensus::tick {});
     const time_point now = m_parts.time->now();
     if (now >= m_nextExpiry && status().role == consensus::raft_role::leader) {
@@ -119,6 +156,9 @@
 
 void control_node::step(const consensus::raft_event &event)
 {
+    if (!m_store) {
+        return;
+    }
     for (auto &action : m_raft->step(event, m_parts.time->now())) {
         std::visit([this](auto &what) { carryOut(what); }, action);
     }
@@ -136,10 +176,10 @@
 void control_node::flush()
 {
     const std::uint64_t sequence = std::exchange(m_unsynced, 0);
-    if (sequence == 0) {
+    if (sequence == 0 || !m_store) {
         return;
     }
-    if (const auto done = m_store.sync(); !done) {
+    if (const auto done = m_store->sync(); !done) {
         logger()->error("The log cannot be synced: {} ({}).", done.error().detail, static_cast<int>(done.error().code));
         step(consensus::persist_failed { done.error().code });
         return;
@@ -154,7 +194,7 @@
 
 void control_node::carryOut(const consensus::persist &action)
 {
-    if (const auto done = m_store.write(action); !done) {
+    if (const auto done = m_store->write(action); !done) {
         logger()->error("The log cannot be written: {} ({}).", done.error().detail,
                         static_cast<int>(done.error().code));
         step(consensus::persist_failed { done.error().code });
@@ -236,6 +276,8 @@
 {
     logger()->critical("This voter takes no further part ({} {}): {}.", static_cast<int>(action.code),
                        describe(action.code).name, action.detail);
+    m_haltCode = action.code;
+    m_reopenAt = m_parts.time->now() + reopenPause;
 }
 
 } // namespace figcleat
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -218,12 +218,16 @@
     }
 }
 
+peer_address entry_node::ownLeader() const
+{
+    return m_control ? m_control->status().leader.value_or(peer_address {}) : peer_address {};
+}
+
 peer_address entry_node::leaderHint() const
 {
-    if (m_control) {
-        return m_control->status().leader.value_or(peer_address {});
-    }
-    return m_proposer.leader().value_or(peer_address {});
+    // A voter that waits for its seat follows no leader, but it hears of one from others.
+    const peer_address own = ownLeader();
+    return own.empty() ? m_proposer.leader().value_or(peer_address {}) : own;
 }
 
 void entry_node::heartbeat()
@@ -233,7 +237,7 @@
     state.vm = m_settings.vm;
     state.dataCentre = m_settings.dataCentre;
     state.isVoter = m_control != nullptr;
-    state.leader = m_control ? leaderHint() : peer_address {};
+    state.leader = ownLeader();
     state.revision = m_replica.configuration().revision;
     state.requestsInProgress = static_cast<std::uint32_t>(m_pipeline.requestsInProgress());
     for (const auto &peer : m_settings.mailbox.peers) {
@@ -243,7 +247,7 @@
         m_messenger->send(address, state);
     }
     if (m_control) {
-        m_proposer.onVoter(m_messenger->self(), leaderHint());
+        m_proposer.onVoter(m_messenger->self(), ownLeader());
     }
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -61,13 +61,16 @@
 {
     loop eventLoop;
     const system_clock time;
-    auto node = Node::open(settings, eventLoop, time, randomNumber());
-    if (!node) {
-        return exitStatus(node.error());
-    }
+    std::unique_ptr<Node> node;
+    // Before the node opens, so that a stop during a long start is a graceful one too.
     for (const int number : { SIGTERM, SIGINT }) {
-        eventLoop.onSignal(number, [&node] { (*node)->drain(); });
+        eventLoop.onSignal(number, [&node] { node->drain(); });
+    }
+    auto opened = Node::open(settings, eventLoop, time, randomNumber());
+    if (!opened) {
+        return exitStatus(opened.error());
     }
+    node = std::move(*opened);
     logFor(part::daemon)->info("Serves in {}.", settings.dataCentre.value);
     eventLoop.run();
     logFor(part::daemon)->info("Has stopped.");
