Trust a leader's commit index only after a commit of its term

Cause: a restarted voter counted as up to date when it had reached the leader's commit index. A new leader's index lags until it commits in its own term, so an older copy of a folder could vote without an entry that it had acknowledged. Change: the entry at the commit index must be of the leader's term. The new test fails without it (a pre-vote is granted) and passes with it.

--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -191,7 +191,8 @@
     }
     const auto match = storeEntries(message);
     m_commit = std::max(m_commit, std::min(message.commit, match));
-    if (match >= message.commit) {
+    // A leader's commit index covers all that was ever committed only once it has committed in its own term.
+    if (match >= message.commit && m_log.termAt(message.commit) == header.term) {
         m_standingUnknown = false;
     }
     acknowledge(from, header.sender, match, message.entries.empty());
--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -197,6 +197,28 @@
     logFor(part::consensus)->set_level(spdlog::level::warn);
 }
 
+// Guards against the same where a new leader has brought the voter only as far as its own, late, commit index.
+TEST_CASE("a restarted voter votes once a leader has committed in its own term", "[raft]")
+{
+    auto voter = makeVoter();
+    const vote_request asked { { { 9 }, { 3 }, { 1 }, { 2 } }, { 3 }, true, { 9 }, { 2 } };
+    const auto wouldVote = [&](time_point now) {
+        const auto actions = voter.step(receive { { "c" }, asked }, now);
+        const auto sent = only<consensus::send>(actions);
+        return std::any_of(sent.begin(), sent.end(), [](const auto &each) {
+            const auto *answer = std::get_if<vote_answer>(&each.message);
+            return answer != nullptr && answer->granted;
+        });
+    };
+    auto message = entryFromTwo({ 2 }, { 2 }, { 1 }, "x");
+    message.commit = { 1 };
+    (void)voter.step(receive { { "b" }, message }, start);
+    CHECK_FALSE(wouldVote(start + 1s));
+    message.commit = { 2 };
+    (void)voter.step(receive { { "b" }, message }, start + 2s);
+    CHECK(wouldVote(start + 3s));
+}
+
 // Guards against the same through the whole path: a copy of the folder is put back while the cluster goes on.
 TEST_CASE("an older copy of a folder takes no part", "[raft]")
 {
