--- a/test/raft-test.cc
+++ b/test/raft-test.cc
@@ -219,6 +219,19 @@
     CHECK(wouldVote(start + 3s));
 }
 
+// Guards against a voter that never votes again because the members that it knows are gone.
+TEST_CASE("a restarted voter asks a candidate that it does not know", "[raft]")
+{
+    auto voter = makeVoter();
+    const message_header unknown { { 9 }, { 8 }, { 1 }, { 1 } };
+    const vote_request asked { unknown, { 2 }, true, { 9 }, { 1 } };
+    CHECK(countSent<standing_query>(voter.step(receive { { "d" }, asked }, start)) == 1);
+    (void)voter.step(receive { { "d" }, standing_answer { unknown, {}, {} } }, start);
+    const auto sent = only<consensus::send>(voter.step(receive { { "d" }, asked }, start));
+    REQUIRE(sent.size() == 1);
+    CHECK(std::get<vote_answer>(sent[0].message).granted);
+}
+
 // Guards against the same through the whole path: a copy of the folder is put back while the cluster goes on.
 TEST_CASE("an older copy of a folder takes no part", "[raft]")
 {
