Close gaps in the tests of agreed state and distribution

Forgetting a holder that answered is removed: after an incomplete copy the process asks it again at once, for which there is a test that failed before. The check of fences stays: the check that log indexes rise comes before it and has a test, so no command reaches it.

--- a/include/figcleat/agreed/configurations.h
+++ b/include/figcleat/agreed/configurations.h
@@ -21,7 +21,10 @@
      * for a number that is no longer remembered, since nothing proves that its content is the same).
      */
     [[nodiscard]] outcome submit(const submit_configuration &file, log_index index);
-    /** Codes: ok, not_configured before the first file, unknown_data_centre above the bound of overrides. */
+    /**
+     * Codes: ok, not_configured before the first file, unknown_data_centre above the bound of overrides. The first
+     * override of a data centre raises the revision even if the file says the same, which the state does not read.
+     */
     [[nodiscard]] outcome set(const set_data_centre &change, log_index index);
 
     /** Revision 0 means that no file was accepted yet. */
--- a/src/distribution/replica.cc
+++ b/src/distribution/replica.cc
@@ -121,7 +121,6 @@
 {
     if (m_fetch && m_fetch->from == event.from) {
         m_fetch.reset();
-        forgetHolder(event.from);
     }
     agreed::configuration_in_force next = event.message.configuration;
     if (next.content.empty()) {
--- a/test/agreed-test.cc
+++ b/test/agreed-test.cc
@@ -180,6 +180,7 @@
     const outcome granted = f.apply(claimOf("large", 1));
     CHECK(f.apply(settleOf("large", granted.fence, large)).code == result_code::ok);
     CHECK(f.apply(settleOf("large", granted.fence, large)).code == result_code::ok);
+    f.restart();
     const outcome resend = f.apply(claimOf("large", 2));
     CHECK(resend.code == result_code::answer_not_kept);
     CHECK(resend.record.answer.empty());
--- a/test/distribution-test.cc
+++ b/test/distribution-test.cc
@@ -251,25 +251,28 @@
     CHECK(copies * 46'000 <= 200 * 23'000 + 240'000);
 }
 
-// Guards against sending the whole file to a process that already holds it, and against a copy without its file.
+// Guards against sending the whole file to a process that already holds it, against a copy without its file, and
+// against a data centre that stays in because a node has no bandwidth left to say so.
 TEST_CASE("a file that the fetcher holds is not sent again", "[distribution]")
 {
     agreed::configuration_in_force changed = fileOf(8, 5);
     changed.dataCentresOut = { { "south" } };
-    replica source(settingsOf("n2"), changed);
+    replica_settings settings = settingsOf("n2");
+    settings.burstBytes = 46'256;
+    replica source(settings, changed);
     const auto sent = only<send_configuration>(source.step(fetch_received { { "n1" }, { { 5 }, 5 } }, start));
     REQUIRE(sent.size() == 1);
     CHECK(sent[0].message.configuration.content.empty());
-    for (int i = 0; i < 10; ++i) {
-        feed(source, fetch_received { { "n1" }, { { 1 }, 1 } });
-    }
+    CHECK(only<send_configuration>(source.step(fetch_received { { "n1" }, { { 1 }, 1 } }, start)).size() == 1);
     CHECK(only<send_configuration>(source.step(fetch_received { { "n1" }, { { 1 }, 1 } }, start)).empty());
     CHECK(only<send_configuration>(source.step(fetch_received { { "n1" }, { { 5 }, 5 } }, start)).size() == 1);
     replica process(settingsOf(), fileOf(5, 5));
     feed(process, configuration_received { { "n2" }, sent[0].message });
     CHECK(process.configuration() == changed);
     replica other(settingsOf(), fileOf(4, 4));
-    feed(other, configuration_received { { "n2" }, sent[0].message });
+    feed(other, heartbeatOf("n2", 8));
+    const auto again = other.step(configuration_received { { "n2" }, sent[0].message }, start);
+    CHECK(only<send_fetch>(again).size() == 1);
     CHECK(other.configuration() == fileOf(4, 4));
 }
 
