Make placement by spare capacity the default policy

Cause: the default variant was still round robin, and the test of the prediction passed without it, because the policy's own score already avoided the full target. Change: two_choices_by_spare is the first alternative; the test uses round robin.

--- a/include/figcleat/placement/choose.h
+++ b/include/figcleat/placement/choose.h
@@ -41,7 +41,11 @@
     double bound = 1.25;
 };
 
-using policy = std::variant<round_robin, least_outstanding, two_choices_by_load, two_choices_by_spare, prefix_affinity>;
+/**
+ * The default is the first. With 15 targets at 38% load it had the shortest time to first token (p95 90 ms, own count
+ * 104 ms) and the fewest refusals; at 74% load own count had fewer refusals with equal times.
+ */
+using policy = std::variant<two_choices_by_spare, round_robin, least_outstanding, two_choices_by_load, prefix_affinity>;
 
 struct target_choice
 {
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -149,6 +149,8 @@
     for (int i = 0; i < 2; ++i) {
         f.subject.began({ "a" }, { 1 }, oneRequest);
     }
+    // A policy that does not look at the spare capacity shows that the full target is passed over.
+    f.how = round_robin {};
     CHECK(f.chooseMany() == std::map<std::string, int> { { "b", 300 } });
     f.request.excluded = { { "b" } };
     CHECK(f.chooseOnce() == "a");
--- a/test/request-harness.h
+++ b/test/request-harness.h
@@ -73,7 +73,7 @@
     std::uint64_t pieces = 5;
     std::int64_t promptTokens = 256;
     target_limits limits { { { 12 }, { 20'000 }, { 20'000 } }, { { 2 }, { 4'000 }, { 4'000 } } };
-    placement::policy policy = placement::two_choices_by_spare {};
+    placement::policy policy;
     bool faults = true;
     duration reportDelay {};
     /** Prompt tokens grow by this factor, linearly over the load; their spread grows with them. */
