Share the room that a target reports among the entries

Cause: every entry reads the same report, at most every 500 ms, and filled the room in it alone. With one data centre of three out, a fifth of the dispatches were refused at the limit. That spent the retry budget, and the refused requests waited for it until their deadline while new ones took the room.

Change: for 2 s after a refusal at a target's limit an entry takes of the reported room only the share that it has of the reported work.

--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -23,6 +23,8 @@
 inline constexpr duration resolveTimeout = std::chrono::seconds(1);
 /** An attempt without progress for this long is asked about; a dispatch or an answer may have been lost. */
 inline constexpr duration progressTimeout = std::chrono::seconds(2);
+/** After a refusal at a target's limit an entry takes only its share of reported room for this long. */
+inline constexpr duration sharingPeriod = std::chrono::seconds(2);
 /** Time after which the deadline passes at the entry once the target's copy of it has passed. */
 inline constexpr duration deadlineGrace = std::chrono::milliseconds(100);
 
@@ -148,6 +150,7 @@
     [[nodiscard]] std::optional<placement::target_choice> choose(request_in_progress &request);
     [[nodiscard]] placement::placement_request placementOf(const request_in_progress &request) const;
     [[nodiscard]] bool isTargetUsable(const request_in_progress &request) const;
+    [[nodiscard]] bool isShareTaken(const target_id &target) const;
     void startAttempt(request_in_progress &request, const placement::target_choice &chosen);
     void onTargetLost(const placement::lost_target &lost);
     // dispatch
@@ -200,6 +203,8 @@
     std::uint64_t m_usageSequence = 0;
     /** An attempt ended in this step, so a queued request may find room. */
     bool m_roomFreed = false;
+    /** Until then this entry takes only its share of the room that a target reports. */
+    time_point m_sharesUntil;
     bool m_stopping = false;
     bool m_drained = false;
     time_point m_now;
--- a/src/request/dispatch.cc
+++ b/src/request/dispatch.cc
@@ -75,6 +75,9 @@
         onAttemptLost(*request, result_code::target_lost);
         return;
     }
+    if (event.code == result_code::target_at_limit) {
+        m_sharesUntil = m_now + sharingPeriod;
+    }
     m_targets.refused(request->target.name, request->target.incarnation);
     request->refusedBy.insert(request->target.name);
     onNotStarted(*request, event.code);
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -452,6 +452,46 @@
     }
 }
 
+// Guards against entries that all read the same report and together fill the reported room several times.
+TEST_CASE("after a refusal an entry takes only its share of the reported room", "[request]")
+{
+    bench test;
+    const auto announceLoaded = [&test](std::int64_t spare) {
+        announce report;
+        report.target = { "t1" };
+        report.service = { "models" };
+        report.model = { "m" };
+        report.dataCentre = { "north" };
+        report.incarnation = { 1 };
+        report.limit = { { 40 }, { 100000 }, { 100000 } };
+        report.spare = { { spare }, { 100000 }, { 100000 } };
+        report.sequence = ++test.sequence;
+        std::size_t sent = 0;
+        for (const auto &action : test.step(target_announced { { "t1" }, report })) {
+            const auto *message = std::get_if<send_to_target>(&action);
+            sent += message != nullptr && std::holds_alternative<dispatch>(message->message) ? 1 : 0;
+        }
+        return sent;
+    };
+    CHECK(announceLoaded(40) == 0);
+    const auto first = findMessage<dispatch>(test.completion());
+    REQUIRE(first.has_value());
+    (void)test.step(attempt_refused { first->attempt, result_code::target_at_limit, { 1 } });
+    (void)test.completion();
+    (void)test.completion();
+    // All work there is that of other entries, so that a small room is not for this one.
+    std::size_t sent = 0;
+    for (int i = 0; i < 20; ++i) {
+        sent += announceLoaded(1);
+    }
+    CHECK(sent <= 1);
+    // Half a request of 20 in progress gives this entry half of the 20 free ones.
+    sent = announceLoaded(20);
+    CHECK(sent <= 1);
+    test.now += sharingPeriod;
+    CHECK(announceLoaded(20) + sent >= 1);
+}
+
 // Guards against a second copy of a dispatch that ends the attempt which the first copy started.
 TEST_CASE("a duplicate dispatch does not disturb its attempt", "[request]")
 {
