Set requests that exceed every limit aside from the queue

Cause: the front of a queue waits until a target has room for it. One request above the present limit of every target, for example 5,000 tokens while all are cold, held up every request for its model until its deadline.

Change: such a request leaves the queue, and is queued again every 250 ms, since a limit rises as a target warms.

Figures: a new test failed before (the smaller request behind was not sent) and passes.

--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -150,6 +150,7 @@
     [[nodiscard]] std::optional<placement::target_choice> choose(request_in_progress &request);
     [[nodiscard]] placement::placement_request placementOf(const request_in_progress &request) const;
     [[nodiscard]] bool isTargetUsable(const request_in_progress &request) const;
+    [[nodiscard]] bool exceedsEveryLimit(const request_in_progress &request) const;
     [[nodiscard]] bool isShareTaken(const target_id &target) const;
     void startAttempt(request_in_progress &request, const placement::target_choice &chosen);
     void onTargetLost(const placement::lost_target &lost);
--- a/src/request/limit.cc
+++ b/src/request/limit.cc
@@ -12,6 +12,8 @@
 
 // A request is looked at again after this time if the retry budget is spent.
 constexpr duration budgetPause = std::chrono::milliseconds(100);
+// A request that exceeds the present limit of every target is looked at again after this time.
+constexpr duration limitPause = std::chrono::milliseconds(250);
 // Generated tokens take most of a target's time, prompt tokens are read in batches.
 constexpr double promptTokenShare = 0.05;
 
@@ -65,9 +67,17 @@
     while (const queued_request *next = queue.front()) {
         auto &request = m_requests.at(next->id.value);
         const auto target = choose(request);
-        if (!target) {
+        if (!target && !exceedsEveryLimit(request)) {
             return;
         }
+        if (!target) {
+            // It waits aside for a target to get warm, and does not hold up the requests behind it.
+            queue.step(withdraw { next->id }, m_now);
+            request.now = phase::backing_off;
+            request.lastRefusal = result_code::target_at_limit;
+            request.wakeAt = m_now + limitPause;
+            continue;
+        }
         carryOut(queue.step(serve {}, m_now));
         startAttempt(request, *target);
     }
--- a/src/request/place.cc
+++ b/src/request/place.cc
@@ -60,6 +60,14 @@
     }
 }
 
+bool pipeline::exceedsEveryLimit(const request_in_progress &request) const
+{
+    const auto all = m_targets.candidates(placementOf(request), m_now);
+    return !all.empty() && std::ranges::none_of(all, [&request](const placement::candidate &one) {
+        return placement::headroom(one.limit, request.call.cost) >= 1.0;
+    });
+}
+
 bool pipeline::isShareTaken(const target_id &target) const
 {
     const auto *known = m_targets.find(target);
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -492,6 +492,37 @@
     CHECK(announceLoaded(20) + sent >= 1);
 }
 
+// Guards against one request that no target can take now and that holds up all others of its model.
+TEST_CASE("a request that exceeds every limit does not hold up smaller ones", "[request]")
+{
+    bench test;
+    announce report;
+    report.target = { "t1" };
+    report.service = { "models" };
+    report.model = { "m" };
+    report.dataCentre = { "north" };
+    report.incarnation = { 1 };
+    report.limit = report.spare = { { 4 }, { 1000 }, { 1000 } };
+    report.sequence = 1;
+    test.step(target_announced { { "t1" }, report });
+    const auto ask = [&test](int tokens) {
+        http_request request { "POST", "/v1/chat/completions", { { "Authorization", "Bearer secret" } }, {} };
+        request.body = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":)"
+            + std::to_string(tokens) + "}";
+        return test.step(call_arrived { { ++test.lastExchange }, std::move(request) });
+    };
+    const auto large = ask(5000);
+    CHECK_FALSE(findMessage<dispatch>(large).has_value());
+    CHECK_FALSE(find<reply>(large).has_value());
+    CHECK(findMessage<dispatch>(ask(100)).has_value());
+
+    // The limit is higher once the target is warm.
+    report.limit = report.spare = { { 8 }, { 10000 }, { 10000 } };
+    report.sequence = 2;
+    (void)test.step(target_announced { { "t1" }, report });
+    CHECK(findMessage<dispatch>(test.wait(std::chrono::seconds(1))).has_value());
+}
+
 // Guards against a second copy of a dispatch that ends the attempt which the first copy started.
 TEST_CASE("a duplicate dispatch does not disturb its attempt", "[request]")
 {
