--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -452,6 +452,77 @@
     }
 }
 
+// Guards against entries that all read the same report and together fill the reported room several times.
+TEST_CASE("after a refusal an entry takes only its share of the reported room", "[request]")
+{
+    bench test;
+    const auto announceLoaded = [&test](std::int64_t spare) {
+        announce report;
+        report.target = { "t1" };
+        report.service = { "models" };
+        report.model = { "m" };
+        report.dataCentre = { "north" };
+        report.incarnation = { 1 };
+        report.limit = { { 40 }, { 100000 }, { 100000 } };
+        report.spare = { { spare }, { 100000 }, { 100000 } };
+        report.sequence = ++test.sequence;
+        std::size_t sent = 0;
+        for (const auto &action : test.step(target_announced { { "t1" }, report })) {
+            const auto *message = std::get_if<send_to_target>(&action);
+            sent += message != nullptr && std::holds_alternative<dispatch>(message->message) ? 1 : 0;
+        }
+        return sent;
+    };
+    CHECK(announceLoaded(40) == 0);
+    const auto first = findMessage<dispatch>(test.completion());
+    REQUIRE(first.has_value());
+    (void)test.step(attempt_refused { first->attempt, result_code::target_at_limit, { 1 } });
+    (void)test.completion();
+    (void)test.completion();
+    // All work there is that of other entries, so that a small room is not for this one.
+    std::size_t sent = 0;
+    for (int i = 0; i < 20; ++i) {
+        sent += announceLoaded(1);
+    }
+    CHECK(sent <= 1);
+    // Half a request of 20 in progress gives this entry half of the 20 free ones.
+    sent = announceLoaded(20);
+    CHECK(sent <= 1);
+    test.now += sharingPeriod;
+    CHECK(announceLoaded(20) + sent >= 1);
+}
+
+// Guards against one request that no target can take now and that holds up all others of its model.
+TEST_CASE("a request that exceeds every limit does not hold up smaller ones", "[request]")
+{
+    bench test;
+    announce report;
+    report.target = { "t1" };
+    report.service = { "models" };
+    report.model = { "m" };
+    report.dataCentre = { "north" };
+    report.incarnation = { 1 };
+    report.limit = report.spare = { { 4 }, { 1000 }, { 1000 } };
+    report.sequence = 1;
+    test.step(target_announced { { "t1" }, report });
+    const auto ask = [&test](int tokens) {
+        http_request request { "POST", "/v1/chat/completions", { { "Authorization", "Bearer secret" } }, {} };
+        request.body = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":)"
+            + std::to_string(tokens) + "}";
+        return test.step(call_arrived { { ++test.lastExchange }, std::move(request) });
+    };
+    const auto large = ask(5000);
+    CHECK_FALSE(findMessage<dispatch>(large).has_value());
+    CHECK_FALSE(find<reply>(large).has_value());
+    CHECK(findMessage<dispatch>(ask(100)).has_value());
+
+    // The limit is higher once the target is warm.
+    report.limit = report.spare = { { 8 }, { 10000 }, { 10000 } };
+    report.sequence = 2;
+    (void)test.step(target_announced { { "t1" }, report });
+    CHECK(findMessage<dispatch>(test.wait(std::chrono::seconds(1))).has_value());
+}
+
 // Guards against a second copy of a dispatch that ends the attempt which the first copy started.
 TEST_CASE("a duplicate dispatch does not disturb its attempt", "[request]")
 {
