--- a/src/daemon/control-node.cc
+++ b/src/daemon/control-node.cc
@@ -51,7 +51,7 @@
     if (!folder) {
         return tl::unexpected<error>(folder.error());
     }
-    auto store = consensus::log_store::open(std::move(*folder), consensus::voter_identity{m_random() | 1U});
+    auto store = consensus::log_store::open(std::move(*folder), consensus::voter_identity { m_random() | 1U });
     if (!store) {
         return tl::unexpected<error>(store.error());
     }
@@ -61,7 +61,7 @@
     }
     auto restored = store->takeRestored();
     agreed::state initial;
-    if (restored.base.index != log_index{}) {
+    if (restored.base.index != log_index {}) {
         auto decoded = agreed::state::restore(restored.base.bytes);
         if (!decoded) {
             return tl::unexpected<error>(decoded.error());
