Keep slots of calls that a restarted engine may run; end leftovers of an earlier target process

Cause: a call that reached the new engine before its restart was noticed lost its slot, and a new target process did not know what its predecessor had left running (both found by the gate's harness, not on processes). Change: the restart names the calls that may survive; a target of a model service first ends all work at its engine.

--- a/include/figcleat/daemon/engine-client.h
+++ b/include/figcleat/daemon/engine-client.h
@@ -24,7 +24,11 @@
 public:
     using event_function = std::function<void(const target::gate_event &)>;
 
-    engine_client(loop &eventLoop, const socket_address &engine, event_function onEvent);
+    /**
+     * @param cancelsLeftovers first ends all work that an earlier process of this target left at the engine, so
+     *        that it does not add to the limit. Not for plain services, whose calls must not be cut off.
+     */
+    engine_client(loop &eventLoop, const socket_address &engine, bool cancelsLeftovers, event_function onEvent);
     ~engine_client();
     engine_client(const engine_client &) = delete;
     engine_client &operator=(const engine_client &) = delete;
--- a/src/daemon/engine-client.cc
+++ b/src/daemon/engine-client.cc
@@ -18,8 +18,9 @@
 constexpr std::string_view endMark = "data: [DONE]";
 constexpr std::string_view eventStream = "text/event-stream";
 constexpr std::size_t maxProbeBytes = std::size_t { 64 } * 1024;
-// Probes of health use an attempt number that no call has.
+// Probes use attempts that no call has.
 constexpr attempt_id healthProbe { { 0 }, { 0 } };
+constexpr attempt_id leftoversProbe { { 0 }, { 1 } };
 
 std::string nameOf(attempt_id attempt)
 {
@@ -62,6 +63,15 @@
         m_progress.erase(attempt);
     }
 
+    [[nodiscard]] std::vector<attempt_id> inProgress() const
+    {
+        std::vector<attempt_id> attempts;
+        for (const auto &[attempt, progress] : m_progress) {
+            attempts.push_back(attempt);
+        }
+        return attempts;
+    }
+
     void onAnswerStart(attempt_id attempt, int status, const http_headers &headers) override
     {
         auto &progress = m_progress[attempt];
@@ -112,9 +122,12 @@
 class engine_client::probes : public http_client_handler
 {
 public:
-    probes(loop &eventLoop, const socket_address &engine, event_function onEvent)
+    probes(loop &eventLoop, const socket_address &engine, bool cancelsLeftovers, const calls &running,
+           event_function onEvent)
         : m_client(eventLoop.base(), engine.ip, engine.port, probeTimeout, probeTimeout, *this)
+        , m_running(&running)
         , m_onEvent(std::move(onEvent))
+        , m_leftoversEnded(!cancelsLeftovers)
     {
     }
 
@@ -126,6 +139,10 @@
 
     void tick()
     {
+        if (!m_leftoversEnded) {
+            send(leftoversProbe, { { "all", true } });
+            return;
+        }
         if (m_answers.emplace(healthProbe, answer {}).second) {
             m_client.start(healthProbe, { "GET", "/figcleat/health", {}, {} });
         }
@@ -158,6 +175,9 @@
         }
         if (attempt == healthProbe) {
             takeHealth(body);
+        } else if (attempt == leftoversProbe) {
+            m_leftoversEnded = body.value("ended", false);
+            tick();
         } else if (body.value("ended", false) && m_unproved.erase(attempt) > 0) {
             m_onEvent(target::engine_finished { attempt, false, {} });
         }
@@ -177,13 +197,25 @@
 
     void sendCancel(attempt_id attempt)
     {
-        if (m_answers.emplace(attempt, answer {}).second) {
-            const nlohmann::json body { { "attempt", nameOf(attempt) } };
-            m_client.start(attempt,
+        send(attempt, { { "attempt", nameOf(attempt) } });
+    }
+
+    void send(attempt_id probe, const nlohmann::json &body)
+    {
+        if (m_answers.emplace(probe, answer {}).second) {
+            m_client.start(probe,
                            { "POST", "/figcleat/cancel", { { "Content-Type", "application/json" } }, body.dump() });
         }
     }
 
+    /** Calls that may have reached an engine after its restart and before this client noticed it. */
+    [[nodiscard]] std::vector<attempt_id> mayRun() const
+    {
+        auto attempts = m_running->inProgress();
+        attempts.insert(attempts.end(), m_unproved.begin(), m_unproved.end());
+        return attempts;
+    }
+
     void takeHealth(const nlohmann::json &body)
     {
         const auto found = body.find("incarnation");
@@ -193,22 +225,25 @@
         const incarnation_id seen { found->get<std::uint64_t>() };
         if (seen != m_engine) {
             m_engine = seen;
-            m_unproved.clear();
             logFor(part::target)->info("The engine runs as incarnation {:016x}.", seen.value);
-            m_onEvent(target::engine_restarted { seen });
+            m_onEvent(target::engine_restarted { seen, mayRun() });
         }
     }
 
     http_client m_client;
+    const calls *m_running;
     event_function m_onEvent;
+    /** Work that an earlier process of this target left at the engine cannot run any more. */
+    bool m_leftoversEnded;
     incarnation_id m_engine;
     std::set<attempt_id> m_unproved;
     std::unordered_map<attempt_id, answer> m_answers;
 };
 
-engine_client::engine_client(loop &eventLoop, const socket_address &engine, event_function onEvent)
+engine_client::engine_client(loop &eventLoop, const socket_address &engine, bool cancelsLeftovers,
+                             event_function onEvent)
     : m_calls(std::make_unique<calls>(eventLoop, engine, onEvent))
-    , m_probes(std::make_unique<probes>(eventLoop, engine, onEvent))
+    , m_probes(std::make_unique<probes>(eventLoop, engine, cancelsLeftovers, *m_calls, onEvent))
 {
 }
 
--- a/src/daemon/target-node.cc
+++ b/src/daemon/target-node.cc
@@ -55,8 +55,9 @@
         return tl::unexpected<error>(messages.error());
     }
     node->m_messenger = std::move(*messages);
-    node->m_engine = std::make_unique<engine_client>(eventLoop, settings.target->engine,
-                                                     [node](const target::gate_event &event) { node->step(event); });
+    node->m_engine
+        = std::make_unique<engine_client>(eventLoop, settings.target->engine, !settings.target->model.empty(),
+                                          [node](const target::gate_event &event) { node->step(event); });
     eventLoop.every(tickPeriod, [node] { node->tick(); });
     eventLoop.every(probePeriod, [node] { node->m_engine->tick(); });
     eventLoop.every(heartbeatPeriod, [node] { node->heartbeat(); });
--- a/test/standin.cc
+++ b/test/standin.cc
@@ -103,7 +103,14 @@
     /** Ends an attempt and bars it from starting later, so that the answer proves that it does not run. */
     void cancel(evhttp_request *request)
     {
-        const std::string attempt = nlohmann::json::parse(bodyOf(request)).value("attempt", "");
+        const auto body = nlohmann::json::parse(bodyOf(request));
+        if (body.value("all", false)) {
+            while (!m_calls.empty()) {
+                m_barred.insert(m_calls.begin()->first);
+                drop(*m_calls.begin()->second);
+            }
+        }
+        const std::string attempt = body.value("attempt", "");
         m_barred.insert(attempt);
         if (const auto found = m_calls.find(attempt); found != m_calls.end()) {
             drop(*found->second);
