Report status seldom between switches and tighten two tests

Cause: 128 ranks that report every 500 ms send more to the controller than the 23 KB/s that control may use.

Change: ranks report every 5 s between switches and every 500 ms during one. A controller that refuses a proposal asks for fresh statuses, so the next attempt does not meet the same old ones. The popularity test now uses windows that differ; a test bounds the size of messages of the largest group.

Conclusion: idle statuses of 128 ranks stay below a quarter of 23 KB/s.

--- a/include/figcleat/group/rank-gate.h
+++ b/include/figcleat/group/rank-gate.h
@@ -98,8 +98,10 @@
     rank_number rank = 0;
     rank_number ranks = 1;
     incarnation_id incarnation;
-    /** Status period. */
+    /** Status period during a switch and until the rank has a map. */
     duration statusEvery = std::chrono::milliseconds(500);
+    /** Status period otherwise: the statuses of 128 ranks have to stay far below 23 KB/s at the controller. */
+    duration idleStatusEvery = std::chrono::seconds(5);
     /** Wait at the switch step after which the rank votes to cancel the switch. */
     duration holdTimeout = std::chrono::seconds(2);
     /** Time after which an order to load that has not been carried out is repeated. */
--- a/include/figcleat/group/switch-controller.h
+++ b/include/figcleat/group/switch-controller.h
@@ -84,8 +84,10 @@
 struct controller_settings
 {
     rank_number ranks = 1;
-    /** A rank silent for this long is taken for lost. */
+    /** A rank silent for this long during a switch is taken for lost. */
     duration silentAfter = std::chrono::milliseconds(1500);
+    /** The same between switches, when ranks report every 5 s. */
+    duration idleSilentAfter = std::chrono::seconds(15);
     duration resendEvery = std::chrono::milliseconds(500);
     /** Longest time for loading; a switch that needs longer is abandoned. */
     duration prepareTimeout = std::chrono::minutes(5);
@@ -155,6 +157,7 @@
     [[nodiscard]] bool isHeld(const rank_record &rank) const;
     [[nodiscard]] bool viewsAgree() const;
     [[nodiscard]] bool anyLost() const;
+    [[nodiscard]] duration silence() const;
     [[nodiscard]] step_number furthestStep() const;
     [[nodiscard]] result_code whyNotNow() const;
     void send(rank_number to, controller_message message);
--- a/src/group/rank-gate.cc
+++ b/src/group/rank-gate.cc
@@ -505,7 +505,8 @@
         vote();
     }
     orderLoads();
-    if (m_now >= m_lastReport + m_settings.statusEvery) {
+    const bool busy = m_pending || !holdsMap();
+    if (m_now >= m_lastReport + (busy ? m_settings.statusEvery : m_settings.idleStatusEvery)) {
         report();
     }
 }
--- a/src/group/switch-controller.cc
+++ b/src/group/switch-controller.cc
@@ -45,6 +45,10 @@
     const result_code why = m_phase == phase::idle ? whyNotNow() : result_code::rank_not_ready;
     if (why != result_code::ok) {
         m_actions.emplace_back(proposal_refused { why });
+        if (m_phase == phase::idle) {
+            // The reason may be gone: between switches a status can be seconds old.
+            sendAll(inquire { m_fence });
+        }
         return;
     }
     m_highestVersion = m_highestVersion.next();
@@ -57,6 +61,8 @@
     for (auto &rank : m_ranks) {
         rank.readyIncarnation = rank.status->incarnation;
         rank.readyEngine = rank.status->engine;
+        // From here on the rank has to answer at the pace of a switch.
+        rank.heardAt = m_now;
     }
     sendAll(prepare { m_fence, m_from, m_map });
 }
@@ -85,9 +91,13 @@
 
 bool switch_controller::anyLost() const
 {
-    return std::any_of(m_ranks.begin(), m_ranks.end(), [this](const rank_record &rank) {
-        return !rank.status || m_now > rank.heardAt + m_settings.silentAfter;
-    });
+    return std::any_of(m_ranks.begin(), m_ranks.end(),
+                       [this](const rank_record &rank) { return !rank.status || m_now > rank.heardAt + silence(); });
+}
+
+duration switch_controller::silence() const
+{
+    return m_phase == phase::idle ? m_settings.idleSilentAfter : m_settings.silentAfter;
 }
 
 void switch_controller::on(const status_received &event)
@@ -312,7 +322,7 @@
 
 std::optional<controller_message> switch_controller::messageFor(const rank_record &rank) const
 {
-    if (!rank.status || m_now > rank.heardAt + m_settings.resendEvery * 2) {
+    if (!rank.status || m_now > rank.heardAt + silence() * 2 / 3) {
         return inquire { m_fence };
     }
     if (m_phase == phase::preparing && !isPending(rank)) {
--- a/test/map-switch-test.cc
+++ b/test/map-switch-test.cc
@@ -271,3 +271,32 @@
     witness.permitted(1, { { 3 }, { { 1 }, { 2 } }, sha256("a") });
     CHECK(witness.isComplete());
 }
+
+// Guards against messages of the largest group that do not fit, and against statuses that use up the control traffic.
+TEST_CASE("messages of the largest group are small enough", "[group]")
+{
+    expert_map map = evenMap(128, 128, 61);
+    for (auto &layer : map.layers) {
+        for (rank_number expert = 0; expert < 128; ++expert) {
+            layer.replicas[expert] = { expert, static_cast<rank_number>(expert + 128) };
+        }
+    }
+    const auto bytes = encode(controller_message { prepare { { 1 }, {}, map } });
+    CHECK(bytes.size() < 128 * 1024);
+    const auto received = decode<controller_message>(bytes);
+    REQUIRE(received.has_value());
+    CHECK(std::get<prepare>(*received).map == map);
+    rank_status status;
+    status.incarnation = { ~0ULL };
+    status.engine = { ~0ULL };
+    status.view = ~0ULL;
+    status.current.content = sha256("a");
+    status.pending.content = sha256("b");
+    const auto perSecond = 128.0 * static_cast<double>(encode(status).size())
+        / std::chrono::duration<double>(gate_settings {}.idleStatusEvery).count();
+    CHECK(perSecond < 5'750);
+    const auto peer
+        = decode<peer_message>(encode(peer_message { join_reply { { 3 }, {}, {}, {}, {}, {}, {}, { map } } }));
+    REQUIRE(peer.has_value());
+    CHECK(std::get<join_reply>(*peer).maps.front() == map);
+}
--- a/test/planner-test.cc
+++ b/test/planner-test.cc
@@ -135,19 +135,24 @@
     settings.experts = 2;
     popularity inTime(settings);
     popularity late(settings);
-    for (std::uint64_t window = 1; window <= 10; ++window) {
-        CHECK(inTime.observe(windowOf(window, { 3000, 1000 })) == result_code::ok);
+    const auto tokens = [](std::uint64_t window) {
+        return std::vector<std::uint32_t> { static_cast<std::uint32_t>(3000 + 20 * window), 1000 };
+    };
+    // Window 4, 5, 7 and 9 are lost in both; the second estimator gets the others out of order.
+    for (const std::uint64_t window : { 1, 2, 3, 6, 8, 10 }) {
+        CHECK(inTime.observe(windowOf(window, tokens(window))) == result_code::ok);
     }
     for (const std::uint64_t window : { 1, 3, 2, 6, 10, 8 }) {
-        CHECK(late.observe(windowOf(window, { 3000, 1000 })) == result_code::ok);
+        CHECK(late.observe(windowOf(window, tokens(window))) == result_code::ok);
     }
     CHECK(late.observe(windowOf(8, { 3000, 1000 })) == result_code::map_stale);
     CHECK(late.observe(windowOf(11, { 1 })) == result_code::message_malformed);
     const auto a = inTime.estimate()[0].tokensPerSecond;
     const auto b = late.estimate()[0].tokensPerSecond;
-    CHECK(a[0] == Approx(50).epsilon(1e-6));
-    CHECK(b[0] == Approx(a[0]).epsilon(1e-6));
-    CHECK(b[1] == Approx(a[1]).epsilon(1e-6));
+    CHECK(a[0] > 3020.0 / 60);
+    CHECK(a[0] < 3200.0 / 60);
+    CHECK(b[0] == Approx(a[0]).epsilon(1e-9));
+    CHECK(b[1] == Approx(a[1]).epsilon(1e-9));
 }
 
 // Guards against an old estimate that outlives a jump, and against one odd window that erases the history.
