Test held claims that nobody resolves and pace the last resends

Cause: the soak's last check sent all open keys at once.

Change: the keys are sent 50 ms apart, with the same demand on each of them. A new switch lets held claims fail, and the check finds it.

--- a/test/pipeline-harness.h
+++ b/test/pipeline-harness.h
@@ -51,6 +51,7 @@
     bool drainWaits = false;
     bool deadlines = false;
     bool cancelOfAttempts = false;
+    bool heldClaims = false;
 };
 
 struct link_settings
@@ -534,8 +535,13 @@
             }
         }
         m_firstProbe = m_lastCall + 1;
+        // A burst would be refused at the cold limits and then wait for the retry budget.
+        duration wait {};
         for (const auto &[key, workspace] : open) {
-            send(below(entries.size()), workspace, seconds(4), key, mostResends);
+            after(wait, [this, key = key, workspace = workspace] {
+                send(below(entries.size()), workspace, seconds(4), key, mostResends);
+            });
+            wait += milliseconds(50);
         }
     }
 
@@ -769,6 +775,9 @@
             if (chance(m_settings.appliedTwice) || lost) {
                 result = apply(action.command);
             }
+            if (m_settings.off.heldClaims && result.status == agreed::claim_status::held) {
+                result.status = agreed::claim_status::refused;
+            }
             after(lost ? milliseconds(700) : milliseconds(2), [=, this] {
                 answerProposal(index, life, { action.proposal, result_code::ok, result });
             });
@@ -1273,7 +1282,7 @@
         m_world->heal();
         m_world->runFor(seconds(10));
         m_world->probeKeys();
-        m_world->runFor(seconds(6));
+        m_world->runFor(seconds(15));
         m_world->checkKeys();
         m_world->checkQuiet();
         m_result.counts = m_world->counts;
--- a/test/pipeline-random-test.cc
+++ b/test/pipeline-random-test.cc
@@ -111,6 +111,11 @@
         off.drainWaits = true;
         CHECK(isFound(off, violation_kind::cut_off, manyRuns));
     }
+    SECTION("a held claim that nobody resolves")
+    {
+        off.heldClaims = true;
+        CHECK(isFound(off, violation_kind::key_stuck, manyRuns));
+    }
     SECTION("no deadlines")
     {
         off.deadlines = true;
