--- a/test/pipeline-harness.h
+++ b/test/pipeline-harness.h
@@ -185,6 +185,7 @@
     explicit world(world_settings chosen)
         : m_settings(std::move(chosen))
         , m_random(m_settings.seed)
+        , m_callRandom(m_settings.seed)
     {
         m_config = makeConfiguration();
         const std::size_t centres = m_settings.entries.size();
@@ -260,11 +261,14 @@
         call.id = { fmt::format("r{}", number) };
         call.workspace = workspace;
         call.key = key;
-        call.streaming = key.empty() && below(4) != 0;
-        call.prefix = workspace * 8 + below(8);
+        const auto pick = [this](std::uint64_t bound) {
+            return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(m_callRandom);
+        };
+        call.streaming = key.empty() && pick(4) != 0;
+        call.prefix = workspace * 8 + pick(8);
         // Some answers take longer than the silence that makes an entry give up a target.
-        const std::size_t longAnswer = m_settings.longAnswers && below(6) == 0 ? 120 : 0;
-        call.pieces = key.empty() ? 3 + below(30) + longAnswer : 1;
+        const std::size_t longAnswer = m_settings.longAnswers && pick(6) == 0 ? 120 : 0;
+        call.pieces = key.empty() ? 3 + pick(30) + longAnswer : 1;
         call.entry = entry;
         call.exchange = { number };
         call.resends = resends;
@@ -1187,6 +1191,8 @@
 
     world_settings m_settings;
     std::mt19937_64 m_random;
+    /** Apart, so that equal seeds give equal calls whatever the link does. */
+    std::mt19937_64 m_callRandom;
     std::shared_ptr<const configuration> m_config;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::uint64_t m_sequence = 0;
