Survive a full disk at a voter, on processes

Cause: a full disk was only tested behind the file interface. Change: a file at the process's size limit counts as a full disk (EFBIG), and its signal is ignored; a test gives one voter such a limit and applies 15 files. After: the others accept all, the voter's entry serves the newest file, and the voter follows again after a restart. Conclusion: a limit on the file's size stands for a full disk here; ENOSPC itself is tested behind the interface.

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -24,13 +24,13 @@
         subprocess.run([sys.executable, ROOT / "examples/generate.py", "tulonga", "--out", self.folder,
                         "--base-port", str(base_port), "--targets-per-service", targets], check=True)
 
-    def start(self, name, *command):
+    def start(self, name, *command, prepare=None):
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen([str(part) for part in command], stdout=log, stderr=log,
-                                                    cwd=self.folder)
+                                                    cwd=self.folder, preexec_fn=prepare)
 
-    def start_daemon(self, name):
-        self.start(name, self.build / "figcleatd", "--settings", self.folder / f"{name}.toml")
+    def start_daemon(self, name, prepare=None):
+        self.start(name, self.build / "figcleatd", "--settings", self.folder / f"{name}.toml", prepare=prepare)
 
     def start_all(self, *engine_options, engine_ports=None):
         """Starts every process; `engine_ports` names the port of engines that a relay stands before."""
--- a/src/consensus/data-folder.cc
+++ b/src/consensus/data-folder.cc
@@ -22,7 +22,7 @@
 
 tl::unexpected<error> failed(const std::string &what, int number)
 {
-    const bool isFull = number == ENOSPC || number == EDQUOT;
+    const bool isFull = number == ENOSPC || number == EDQUOT || number == EFBIG;
     return fail(isFull ? result_code::disk_full : result_code::sync_failed,
                 what + ": " + std::generic_category().message(number));
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -106,6 +106,8 @@
     startLog(settings->logLevel, settings->vm.value);
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // A file at the size limit is a full disk for the log, which the voter survives.
+    std::signal(SIGXFSZ, SIG_IGN);
     try {
         return settings->entry ? serve<entry_node>(*settings) : serve<target_node>(*settings);
     } catch (const invariant_violation &violation) {
--- a/test/failure-process-test.py
+++ b/test/failure-process-test.py
@@ -1,6 +1,7 @@
 """Failures of processes under way: crashes, freezes, lost disks, silent connections, races and planned stops."""
 import concurrent.futures
 import json
+import resource
 import shutil
 import socket
 import threading
@@ -107,6 +108,28 @@
         self.assertEqual(self.apply_number(30, index).returncode, 0)
 
 
+    def test_4_full_disk(self):
+        """Guards against a full disk at one voter that stops the others, or the entry that it is part of."""
+        leader = self.leader()
+        voter = next(name for name in ("entry-1", "entry-2", "entry-4", "entry-5", "entry-7") if name != leader)
+        index = int(voter.split("-")[1]) - 1
+        used = max(path.stat().st_size for path in (self.deployment.folder / "data" / voter).iterdir())
+        limit = used + 20_000
+        self.deployment.kill(voter)
+        self.deployment.start_daemon(voter, lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limit)))
+        self.wait_for("the entry serves", lambda: (self.deployment.status(index) or {}).get("number", 0) > 0, 10)
+        asked = next(i for i in range(8) if f"entry-{i + 1}" not in (leader, voter))
+        for number in range(40, 55):
+            self.wait_for("the others accept", lambda: self.apply_number(number, asked).returncode == 0, 10)
+        self.wait_for("the voter says that its disk is full",
+                      lambda: "disk_full" in (self.deployment.folder / f"{voter}.log").read_text(), 10)
+        self.wait_for("its entry has the configuration", lambda: self.deployment.status(index)["number"] == 54, 5)
+        self.deployment.kill(voter)
+        self.deployment.start_daemon(voter)
+        self.wait_for("the voter follows again",
+                      lambda: (self.deployment.status(index) or {}).get("control", {}).get("role") == "follower", 10)
+
+
 class ServiceFailureTest(FailureTest):
     base_port = 26000
     engine_options = ("--token-ms", "40")
