Refuse commands without their operand; word accepted commands as accepted

figcleat drain without a name answered unknown_data_centre, add-voter without an address or with a word opened a seat that no process can take, and an accepted command was reported in the words for callers' requests. The command line now refuses a missing operand and a new voter without a valid address with usage_error, and says accepted. The operator interface itself still takes any text as a voter's address.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -22,7 +22,7 @@
 
 Commands
   check FILE            check a configuration file without an entry
-  check-settings FILE   check a settings file of a process
+  check-settings FILE   check a settings file of a process without an entry
   apply FILE            submit a configuration; accepted or refused as a whole
   status                what an entry knows of data centres, entries, voters and targets
   report burn           service levels, error budgets and burn alerts (--json, --html)
@@ -30,8 +30,8 @@
   configuration         print the configuration in force
   drain DATA_CENTRE     take a data centre out of service
   restore DATA_CENTRE   bring a data centre back into service
-  add-voter ADDRESS     open a seat for a voter with a new data folder
-  remove-voter ADDRESS  take a voter out of the replicated log
+  add-voter ADDRESS     open a seat for a new voter, named by its mailbox address
+  remove-voter ADDRESS  take a voter out of the replicated log, by its mailbox address
 
 )";
 
@@ -83,7 +83,7 @@
     std::ostringstream content;
     content << file.rdbuf();
     if (!file) {
-        return fail(result_code::settings_unreadable, path);
+        return fail(result_code::settings_unreadable, path + ": the file cannot be read");
     }
     return content.str();
 }
@@ -105,6 +105,13 @@
     return describe(code).exitStatus;
 }
 
+/** The meaning of `ok` is worded for callers' requests; an operator's command was accepted. */
+std::string detailOf(const nlohmann::json &body)
+{
+    const std::string detail = body.value("detail", "");
+    return detail == describe(result_code::ok).meaning ? "accepted" : detail;
+}
+
 /** Prints an answer that consists of a code and a detail. */
 int printOutcome(const arguments &given, const expected<operator_answer> &answer)
 {
@@ -117,7 +124,7 @@
     }
     const auto &body = answer->body;
     std::ostream &out = exitStatusOf(*answer) == 0 ? std::cout : std::cerr;
-    out << body.value("name", "") << ": " << body.value("detail", "");
+    out << body.value("name", "") << ": " << detailOf(body);
     if (body.value("revision", 0) != 0) {
         out << " (revision " << body.value("revision", 0) << ")";
     }
@@ -198,8 +205,27 @@
     return report({ result_code::usage_error, "unknown command " + given.command });
 }
 
+/** What a command needs as its operand; empty if it needs none. */
+std::string_view operandOf(std::string_view command)
+{
+    if (command == "check" || command == "check-settings" || command == "apply") {
+        return "FILE";
+    }
+    if (command == "drain" || command == "restore") {
+        return "DATA_CENTRE";
+    }
+    return command == "add-voter" || command == "remove-voter" ? "ADDRESS" : "";
+}
+
 int runCommand(const arguments &given)
 {
+    if (const auto needed = operandOf(given.command); !needed.empty() && given.operand.empty()) {
+        return report({ result_code::usage_error, given.command + " needs " + std::string(needed) });
+    }
+    // A seat for an address that no process can have would stay open for ever. Such a seat can still be removed.
+    if (given.command == "add-voter" && !parseSocketAddress(given.operand)) {
+        return report({ result_code::usage_error, given.operand + " is no address" });
+    }
     if (given.command == "check") {
         return reportChecked(loadConfiguration(given.operand), given.operand);
     }
