Measure without the entries that have no disk, and with them down

A killed entry makes every peer redial, so a slope for each entry needs a deployment whose settings never named it. Ports in TIME_WAIT cannot be bound either, so the search for free ports takes single steps.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -28,6 +28,7 @@
 
 ENTRIES = 8
 VOTERS = ("entry-1", "entry-2", "entry-4", "entry-5", "entry-7")
+WITHOUT_DISK = ("entry-3", "entry-6", "entry-8")
 CALLERS = ("clinics", "school-kitchens", "old-age-homes")
 TICKS = os.sysconf("SC_CLK_TCK")
 FIRST_TOKEN_MS, TOKEN_MS, TOKENS = 20, 5, 12
@@ -103,17 +104,35 @@
 def free_base(given, targets):
     """The next base whose ports are free; they lie in the range from which the system numbers connections."""
     blocks = [(0, ENTRIES), (100, targets), (200, ENTRIES), (300, ENTRIES), (400, targets)]
-    while given.base_port <= 44000:
-        base, given.base_port = given.base_port, given.base_port + 500
+    first, last = 35000, 44500
+    for _ in range(first, last):
+        base = given.base_port if first <= given.base_port <= last else first
         if all(is_free(base + block + i + 1) for block, count in blocks for i in range(count)):
+            given.base_port = base + 500
             return base
-    raise RuntimeError("no free block of ports is left up to 44500")
+        given.base_port = base + 1
+    raise RuntimeError("no free block of ports from 35000 to 45000")
 
 
-def start(given, folder, targets):
+def remove_entries(deployment, names):
+    """As if these entries were in no settings file."""
+    gone = [f"127.0.0.1:{deployment.base_port + int(name.rsplit('-', 1)[1])}" for name in names]
+    for name in names:
+        (deployment.folder / f"{name}.toml").unlink()
+    for path in deployment.folder.glob("*.toml"):
+        lines = path.read_text().splitlines()
+        for i, line in enumerate(lines):
+            if line.startswith(("peers = ", "nearby = ")):
+                key, held = line.split(" = ", 1)
+                lines[i] = f"{key} = {json.dumps([each for each in json.loads(held) if each not in gone])}"
+        path.write_text("\n".join(lines) + "\n")
+
+
+def start(given, folder, targets, without):
     total = sum(int(each) for each in targets.split(","))
     for _ in range(3):
         deployment = Deployment(given.build, folder, free_base(given, total), targets)
+        remove_entries(deployment, without)
         try:
             deployment.start_all("--first-token-ms", FIRST_TOKEN_MS, "--token-ms", TOKEN_MS, "--tokens", TOKENS)
             time.sleep(0.5)
@@ -121,7 +140,8 @@
             if not ended:
                 deployment.apply(deployment.folder / "configuration.toml")
                 for entry in range(ENTRIES):
-                    deployment.wait_ready(total, entry=entry)
+                    if f"entry-{entry + 1}" not in without:
+                        deployment.wait_ready(total, entry=entry)
                 return deployment
         except BaseException:
             deployment.stop_all(timeout=5)
@@ -134,12 +154,12 @@
 
 
 @contextlib.contextmanager
-def running(given, targets):
+def running(given, targets, without=()):
     """A deployment that is in force at every entry; ended in any case."""
     folder = tempfile.mkdtemp(prefix="figcleat-processes-")
     deployment = None
     try:
-        deployment = start(given, folder, targets)
+        deployment = start(given, folder, targets, without)
         yield deployment, Operators(deployment)
     finally:
         for line in deployment.stop_all(timeout=5) if deployment else []:
@@ -197,13 +217,13 @@
             continue
         ways = " ".join(f"{result[way][role]:10.0f}" if role in result[way] else f"{'-':>10}"
                         for way in ("sent", "received"))
-        print(f"{label:>22} {role:>7} {result['memory'][role]:9.1f} {result['cpu'][role]:8.2f} {ways}")
+        print(f"{label:>24} {role:>7} {result['memory'][role]:9.1f} {result['cpu'][role]:8.2f} {ways}")
 
 
 def idle(given):
     seconds = 4 if given.quick else 20
     print(f"\na. Idle over {seconds} s; limits 64 MB, 1.5 % of a core, 23 KB/s; mean of the processes of a role")
-    print(f"{'deployment':>22} {'role':>7} {'VmRSS MiB':>9} {'core %':>8} {'sent B/s':>10} {'recvd B/s':>10}")
+    print(f"{'deployment':>24} {'role':>7} {'VmRSS MiB':>9} {'core %':>8} {'sent B/s':>10} {'recvd B/s':>10}")
     results = {}
     for count, plan in ((6, "5,1"), (15, "12,3"), (30, "24,6")):
         with running(given, plan) as (deployment, operators):
@@ -212,12 +232,14 @@
             show_idle(f"8 entries {count} targets", results[count])
             if count != 15:
                 continue
-            for name in ("entry-3", "entry-6", "entry-8"):
-                deployment.processes[name].terminate()
-                deployment.processes.pop(name).wait(10)
+            for name in WITHOUT_DISK:
+                deployment.kill(name)
             time.sleep(2)
-            fewer = sample_idle(deployment, operators, seconds)
-            show_idle("5 entries 15 targets", fewer)
+            show_idle("the same, 3 entries down", sample_idle(deployment, operators, seconds))
+    with running(given, "12,3", WITHOUT_DISK) as (deployment, operators):
+        time.sleep(1.5)
+        fewer = sample_idle(deployment, operators, seconds)
+        show_idle("5 entries 15 targets", fewer)
     for kind, unit in (("memory", "MiB"), ("cpu", "% of a core"), ("sent", "B/s"), ("received", "B/s")):
         for role in results[15][kind]:
             at_zero, rise = slope([(count, found[kind][role]) for count, found in results.items()])
@@ -344,7 +366,7 @@
         series("sample file", submitted, everyone, count, 0, rates)
         if not given.quick:
             time.sleep(5)
-            series("file of 46 KB, one every 6 s", submitted, everyone, 8, DESIGN_FILE_BYTES, rates, 6)
+            series("file of 46 KB, one every 5 s", submitted, everyone, 8, DESIGN_FILE_BYTES, rates, 5)
         series("file of 46 KB, one after another", submitted, everyone, max(3, count // 4), DESIGN_FILE_BYTES, rates)
         leader = leader_of(operators, everyone)
         stopped = next(i for i in everyone if f"entry-{i + 1}" in VOTERS and i != leader)
@@ -461,11 +483,11 @@
     return "POST", "/services/returns-desk/pickups", [*headers, f"Idempotency-Key: {key}"], b'{"trays": 40}'
 
 
-async def attempt(caller, kind, workspace, key, timeout=20):
+async def attempt(caller, kind, workspace, key, timeout=10):
     try:
         return await asyncio.wait_for(caller.call(*request_of(kind, workspace, key)), timeout)
     except (ConnectionRefusedError, asyncio.TimeoutError) as problem:
-        outcome = "refused connection" if isinstance(problem, ConnectionRefusedError) else "no end in 20 s"
+        outcome = "refused connection" if isinstance(problem, ConnectionRefusedError) else "no end in 10 s"
     except (OSError, asyncio.IncompleteReadError, ValueError):
         outcome = "connection lost"
     caller.close()
@@ -536,6 +558,7 @@
             generate(ports, "stream", 8 * count, 1 if given.quick else 3)
             direct = generate(engines, "stream", 4, seconds / 2, 1)
             through = generate(ports, "stream", 4, seconds / 2, 1)
+            levels = [levels_of(operators)]
             before = {role: sum(each) for role, each in by_role(deployment, processor_seconds).items()}
             began = time.monotonic()
             found = generate(ports, "stream", 16 * count, seconds)
@@ -547,14 +570,20 @@
             print(f"{count:>8} {whole / passed:>10.0f} {used['voter'] + used['entry']:>10.2f} {used['target']:>10.2f}"
                   f" {a[0]:>8.2f} {a[1]:>8.2f} {b[0]:>8.2f} {b[1]:>8.2f} {b[0] - a[0]:>7.2f}  {outcomes(found)}",
                   flush=True)
+            levels.append(levels_of(operators))
             time.sleep(1)
             left = {f"entry-{i + 1}": operators.status(i)["requests_in_progress"] for i in range(ENTRIES)}
-            print(f"   in progress 1 s after the load: {sum(left.values())}"
+            print(f"   sum of the model targets' admission levels before and after: {levels[0]}, {levels[1]};"
+                  f" in progress 1 s after the load: {sum(left.values())}"
                   f" {dict((name, each) for name, each in left.items() if each)}", flush=True)
             if count == 12:
                 bookings(deployment, count, seconds)
 
 
+def levels_of(operators):
+    return sum(each["limit"] for each in operators.status(0)["targets"] if each["service"] == "assistant-models")
+
+
 def bookings(deployment, first_plain, seconds):
     ports, services = caller_ports(deployment), engine_ports(deployment, first_plain, 3)
     memory = means(by_role(deployment, resident_mib))
