--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 measure: build
 	@for bench in $(BUILD)/*-bench; do [ ! -x $$bench ] || $$bench measure --seed $(SEED) || exit 1; done
+	@python3 bench/processes.py --build $(BUILD) --quick
 
 soak: build
 	@for bench in $(BUILD)/*-bench; do [ ! -x $$bench ] || $$bench soak --seed $(SEED) --runs $(RUNS) || exit 1; done
--- a/bench/agreed-bench.cc
+++ b/bench/agreed-bench.cc
@@ -1,7 +1,7 @@
+#include "bench-main.h"
 #include "figcleat/agreed/state.h"
 #include "figcleat/wire/codec.h"
 
-#include <boost/program_options.hpp>
 #include <cstdio>
 #include <ctime>
 #include <iostream>
@@ -14,30 +14,7 @@
 namespace
 {
 
-struct arguments
-{
-    std::string subcommand;
-    std::uint64_t seed = 1;
-    std::uint64_t runs = 100;
-};
-
-arguments parseArguments(int argc, char **argv)
-{
-    namespace po = boost::program_options;
-    arguments parsed;
-    po::options_description options;
-    options.add_options()("subcommand", po::value(&parsed.subcommand)->required());
-    options.add_options()("seed", po::value(&parsed.seed));
-    options.add_options()("runs", po::value(&parsed.runs));
-    po::variables_map values;
-    po::store(po::command_line_parser(argc, argv)
-                  .options(options)
-                  .positional(po::positional_options_description().add("subcommand", 1))
-                  .run(),
-              values);
-    po::notify(values);
-    return parsed;
-}
+using bench::arguments;
 
 constexpr std::array commandNames { "submit_configuration", "set_data_centre", "claim_key",    "settle_claim",
                                     "release_claim",        "issue_fence",     "record_usage", "expire_claims" };
@@ -346,18 +323,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        const arguments options = parseArguments(argc, argv);
-        if (options.subcommand == "soak") {
-            return soak(options);
-        }
-        if (options.subcommand == "measure") {
-            return measure(options);
-        }
-        std::cout << "agreed-bench has no subcommand " << options.subcommand << ".\n";
-        return 0;
-    } catch (const std::exception &problem) {
-        std::cerr << "agreed-bench: " << problem.what() << '\n';
-        return 2;
-    }
+    return bench::run(argc, argv, "agreed-bench", { { "soak", soak }, { "measure", measure } });
 }
--- a/bench/consensus-bench.cc
+++ b/bench/consensus-bench.cc
@@ -1,8 +1,8 @@
 #include "../test/raft-harness.h"
+#include "bench-main.h"
 #include "figcleat/core/log.h"
 
 #include <atomic>
-#include <boost/program_options.hpp>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -187,30 +187,8 @@
 
 int main(int argc, char **argv)
 {
-    namespace po = boost::program_options;
-    std::string subcommand;
-    std::uint64_t seed = 1;
-    std::uint64_t runs = 2000;
-    po::options_description options("consensus-bench measure|soak");
-    options.add_options()("command", po::value(&subcommand)->required())("seed", po::value(&seed))("runs",
-                                                                                                   po::value(&runs));
-    po::positional_options_description positional;
-    positional.add("command", 1);
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
-        po::notify(values);
-    } catch (const po::error &problem) {
-        fmt::print(stderr, "{}\n", problem.what());
-        return 2;
-    }
     startLog("off", "bench");
-    if (subcommand == "soak") {
-        return soak(seed, runs);
-    }
-    if (subcommand == "measure") {
-        return measure(seed);
-    }
-    fmt::print("consensus-bench has no subcommand {}\n", subcommand);
-    return 0;
+    return bench::run(argc, argv, "consensus-bench",
+                      { { "soak", [](const bench::arguments &given) { return soak(given.seed, given.runs); } },
+                        { "measure", [](const bench::arguments &given) { return measure(given.seed); } } });
 }
--- a/bench/distribution-bench.cc
+++ b/bench/distribution-bench.cc
@@ -1,9 +1,9 @@
+#include "bench-main.h"
 #include "figcleat/core/overloaded.h"
 #include "figcleat/distribution/replica.h"
 #include "figcleat/wire/codec.h"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
 #include <memory>
@@ -517,40 +517,22 @@
     printSpread("the data centre returns", net, start, [&](index_t node) { return plan.dataCentreOf(node) == away; });
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+int measureAll(const bench::arguments &given)
 {
-    namespace po = boost::program_options;
-    std::string subcommand;
-    std::uint64_t seed = 1;
-    std::uint64_t runs = 1;
-    po::options_description options;
-    options.add_options()("subcommand", po::value(&subcommand)->required())("seed", po::value(&seed));
-    options.add_options()("runs", po::value(&runs));
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv)
-                      .options(options)
-                      .positional(po::positional_options_description().add("subcommand", 1))
-                      .run(),
-                  values);
-        po::notify(values);
-    } catch (const std::exception &problem) {
-        std::cerr << "distribution-bench: " << problem.what() << '\n';
-        return 2;
-    }
-    if (subcommand != "measure") {
-        std::cout << "distribution-bench has no subcommand " << subcommand << ".\n";
-        return 0;
-    }
     std::printf(
         "distribution measure, seed %llu: file of %zu bytes, 1.5 ms one way, 1%% loss; bytes sent and received\n",
-        static_cast<unsigned long long>(seed), fileBytes);
+        static_cast<unsigned long long>(given.seed), fileBytes);
     for (const layout &plan : { layout { "8 entries and 15 targets in 3 data centres", 8, 15, 3 },
                                 layout { "360 entries and 600 targets in 8 data centres", 360, 600, 8 } }) {
-        measure<gossip_node>("gossip with pull", plan, seed);
-        measure<push_node>("push tree", plan, seed);
+        measure<gossip_node>("gossip with pull", plan, given.seed);
+        measure<push_node>("push tree", plan, given.seed);
     }
     return 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    return bench::run(argc, argv, "distribution-bench", { { "measure", measureAll } });
+}
--- a/bench/group-bench.cc
+++ b/bench/group-bench.cc
@@ -1,11 +1,11 @@
 #include "../test/group-harness.h"
+#include "bench-main.h"
 
 #include "figcleat/group/planner.h"
 #include "figcleat/group/popularity.h"
 #include "figcleat/group/straggler.h"
 
 #include <algorithm>
-#include <boost/program_options.hpp>
 #include <cmath>
 #include <cstdio>
 #include <ctime>
@@ -14,7 +14,6 @@
 #include <numeric>
 #include <thread>
 
-namespace po = boost::program_options;
 using namespace figcleat;
 using namespace figcleat::group;
 
@@ -601,26 +600,7 @@
 
 int main(int argc, char **argv)
 {
-    po::options_description options("group-bench measure|soak");
-    options.add_options()("command", po::value<std::string>()->required())(
-        "seed", po::value<std::uint64_t>()->default_value(1))("runs", po::value<std::uint64_t>()->default_value(2000));
-    po::positional_options_description positional;
-    positional.add("command", 1);
-    po::variables_map values;
-    try {
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
-        po::notify(values);
-    } catch (const po::error &problem) {
-        std::cerr << problem.what() << '\n';
-        return 2;
-    }
-    const auto command = values["command"].as<std::string>();
-    if (command == "soak") {
-        return soak(values["seed"].as<std::uint64_t>(), values["runs"].as<std::uint64_t>());
-    }
-    if (command == "measure") {
-        return measure(values["seed"].as<std::uint64_t>());
-    }
-    std::cout << "group-bench has no " << command << '\n';
-    return 0;
+    return bench::run(argc, argv, "group-bench",
+                      { { "soak", [](const bench::arguments &given) { return soak(given.seed, given.runs); } },
+                        { "measure", [](const bench::arguments &given) { return measure(given.seed); } } });
 }
--- a/bench/path-bench.cc
+++ b/bench/path-bench.cc
@@ -1,7 +1,8 @@
+#include "bench-main.h"
+
 #include "../test/pipeline-harness.h"
 
 #include <atomic>
-#include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
 #include <mutex>
@@ -13,30 +14,7 @@
 namespace
 {
 
-struct arguments
-{
-    std::string subcommand;
-    std::uint64_t seed = 1;
-    std::uint64_t runs = 100;
-};
-
-arguments parseArguments(int argc, char **argv)
-{
-    namespace po = boost::program_options;
-    arguments parsed;
-    po::options_description options;
-    options.add_options()("subcommand", po::value(&parsed.subcommand)->required());
-    options.add_options()("seed", po::value(&parsed.seed));
-    options.add_options()("runs", po::value(&parsed.runs));
-    po::variables_map values;
-    po::store(po::command_line_parser(argc, argv)
-                  .options(options)
-                  .positional(po::positional_options_description().add("subcommand", 1))
-                  .run(),
-              values);
-    po::notify(values);
-    return parsed;
-}
+using bench::arguments;
 
 /** Sum of all runs of a soak. */
 struct soak_sum
@@ -357,18 +335,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        const auto given = parseArguments(argc, argv);
-        if (given.subcommand == "soak") {
-            return soak(given);
-        }
-        if (given.subcommand == "measure") {
-            return measure(given);
-        }
-        std::printf("path-bench has no subcommand %s\n", given.subcommand.c_str());
-        return 0;
-    } catch (const std::exception &problem) {
-        std::cerr << problem.what() << '\n';
-        return 2;
-    }
+    return bench::run(argc, argv, "path-bench", { { "soak", soak }, { "measure", measure } });
 }
--- a/bench/request-bench.cc
+++ b/bench/request-bench.cc
@@ -1,7 +1,7 @@
 #include "../test/request-harness.h"
+#include "bench-main.h"
 
 #include <atomic>
-#include <boost/program_options.hpp>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -213,32 +213,14 @@
 
 int main(int argc, char **argv)
 {
-    namespace po = boost::program_options;
-    po::options_description options("request-bench measure|soak");
-    options.add_options()("command", po::value<std::string>()->default_value("measure"))(
-        "seed", po::value<std::uint64_t>()->default_value(1))("runs", po::value<std::uint64_t>()->default_value(2000))(
-        "without", po::value<std::string>(), "soak without one mechanism, to see that its violation is found");
-    po::positional_options_description positional;
-    positional.add("command", 1);
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), values);
-        const auto command = values["command"].as<std::string>();
-        const auto seed = values["seed"].as<std::uint64_t>();
-        if (command == "measure") {
-            return measure(seed);
+    const auto soakWithout = [](const bench::arguments &given) {
+        switches off;
+        if (!given.without.empty()) {
+            off.*switchNames.at(given.without) = true;
         }
-        if (command == "soak") {
-            switches off;
-            if (values.count("without") > 0) {
-                off.*switchNames.at(values["without"].as<std::string>()) = true;
-            }
-            return soak(seed, values["runs"].as<std::uint64_t>(), off);
-        }
-        std::cout << "request-bench has no " << command << '\n';
-        return 0;
-    } catch (const std::exception &problem) {
-        std::cerr << problem.what() << '\n';
-        return 2;
-    }
+        return soak(given.seed, given.runs, off);
+    };
+    return bench::run(
+        argc, argv, "request-bench",
+        { { "soak", soakWithout }, { "measure", [](const bench::arguments &given) { return measure(given.seed); } } });
 }
