Take the test's ports from below the ephemeral range

With base port 33000 one of two runs failed: an outgoing connection held port 33304, and a voter ended with address_unusable. The planned stop of entry-8 then failed twice of two runs: the process logs that it has stopped and stays in nng's close. The test keeps this check, and ends the process if it fails.

--- a/test/docs-process-test.py
+++ b/test/docs-process-test.py
@@ -56,7 +56,9 @@
 
 
 class CommandsTest(processes.DeploymentTest):
-    base_port = 33000
+    # Below the range from which the system takes ports for outgoing connections (32768 on Linux): one of those can
+    # hold a port of the deployment, so that a process does not start.
+    base_port = 29000
     targets = "1,1"
 
     def expect(self, status, text, *arguments, entry=0):
@@ -112,7 +114,7 @@
             self.expect(2, f"{command} needs", command)
         self.expect(2, "no address", "add-voter", "somewhere")
         self.expect(35, "unknown_data_centre", "drain", "atlantis")
-        for entry, status in (("127.0.0.1:33999", 36), (self.deployment.operator(0), 33)):
+        for entry, status in (("127.0.0.1:29999", 36), (self.deployment.operator(0), 33)):
             result = subprocess.run([processes.BUILD + "/figcleat", "status", "--entry", entry], timeout=15,
                                     env=dict(os.environ, FIGCLEAT_CREDENTIAL="wrong"), capture_output=True)
             self.assertEqual(result.returncode, status, result.stderr)
@@ -141,7 +143,7 @@
         self.until(lambda: self.complete()[0] == 200, "not back")
 
     def test_voter_with_a_lost_disk_and_moved(self):
-        address = "127.0.0.1:33005"
+        address = "127.0.0.1:29005"
         self.deployment.kill("entry-5")
         shutil.rmtree(self.deployment.folder / "data/entry-5")
         time.sleep(1.5)
@@ -151,15 +153,22 @@
             return found is not None and found["role"] == "voter" and found["reachable"]
         self.until(is_voter, "the new folder did not take the seat")
         self.expect(0, "accepted", "remove-voter", address)
-        self.until(lambda: self.member("127.0.0.1:33001") and self.member(address) is None, "not removed")
+        self.until(lambda: self.member("127.0.0.1:29001") and self.member(address) is None, "not removed")
         self.expect(0, "accepted", "add-voter", address)
         self.until(is_voter, "not a voter again")
 
     def test_planned_stop_of_a_target_and_an_entry(self):
         for name in ("returns-desk-1", "entry-8"):
-            process = self.deployment.processes.pop(name)
+            process = self.deployment.processes[name]
             process.terminate()
-            self.assertEqual(process.wait(20), 0, name)
+            try:
+                self.assertEqual(process.wait(10), 0, name)
+            except subprocess.TimeoutExpired:
+                # Guards against a process that has ended its work and does not exit.
+                self.deployment.kill(name)
+                log = (self.deployment.folder / f"{name}.log").read_text()
+                self.deployment.start_daemon(name)
+                self.fail(f"{name} did not exit within 10 s: {log[-300:]}")
             self.deployment.start_daemon(name)
         self.deployment.wait_ready(2, entry=7)
 
