Mend what trying the operator page found

Cause: found by running every command of docs/operating.md: a request whose engine froze went to the same target again and ended at its deadline (406); usage counted 0 tokens for answers that are no stream; X-Figcleat-Recorded was filtered out of its own answer; a command without a quorum was answered with 'not run' although it may still take effect; any text became a voter's address; nng_close of the listener sometimes did not return (seen in a debugger).

--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -17,7 +17,7 @@
     """Processes of one deployment, each started from its own settings file."""
 
     def __init__(self, build, folder, base_port, targets):
-        self.build = pathlib.Path(build)
+        self.build = pathlib.Path(build).resolve()
         self.folder = pathlib.Path(folder)
         self.base_port = base_port
         self.processes = {}
--- a/include/figcleat/core/result-code.h
+++ b/include/figcleat/core/result-code.h
@@ -70,6 +70,7 @@
     unknown_data_centre = 515,
     usage_error = 516,
     entry_unreachable = 517,
+    command_uncertain = 518,
 
     log_damaged = 600,
     log_tail_torn = 601,
@@ -132,7 +133,7 @@
 /** Row of the result code table. */
 [[nodiscard]] const result_info &describe(result_code code);
 /** Every row, in ascending order of code. */
-[[nodiscard]] const std::array<result_info, 85> &resultTable();
+[[nodiscard]] const std::array<result_info, 86> &resultTable();
 [[nodiscard]] std::string_view toString(execution ran);
 
 struct error
--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -29,6 +29,14 @@
     void drain();
 
 private:
+    /** A question to another entry, which may never answer. */
+    template<typename Function>
+    struct waiting
+    {
+        Function answer;
+        time_point deadline;
+    };
+
     struct summary_gathering
     {
         report::summary_merger merger;
@@ -70,6 +78,7 @@
 
     void sendSummaryCopies();
     void finishGathering();
+    void giveUpQuestions();
     void heartbeat();
     void tick();
     void step(const request::pipeline_event &event);
@@ -111,8 +120,8 @@
     std::shared_ptr<const configuration> m_config;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, decision_function> m_decisions;
-    std::unordered_map<std::uint64_t, decision_function> m_membershipChanges;
-    std::unordered_map<std::uint64_t, usage_function> m_usageReads;
+    std::unordered_map<std::uint64_t, waiting<decision_function>> m_membershipChanges;
+    std::unordered_map<std::uint64_t, waiting<usage_function>> m_usageReads;
     service_levels m_levels;
     std::map<std::uint64_t, summary_gathering> m_gatherings;
     time_point m_nextSummary;
--- a/include/figcleat/daemon/messenger.h
+++ b/include/figcleat/daemon/messenger.h
@@ -41,6 +41,11 @@
     [[nodiscard]] const peer_address &self() const;
 
 private:
+    struct connection
+    {
+        time_point dialled;
+        time_point lastUsed;
+    };
     struct peer
     {
         time_point lastHeard;
@@ -56,7 +61,7 @@
     handler m_onMessage;
     std::unique_ptr<mailbox> m_mailbox;
     std::unordered_map<peer_address, peer> m_heard;
-    std::unordered_map<peer_address, time_point> m_dialled;
+    std::unordered_map<peer_address, connection> m_dialled;
 };
 
 } // namespace figcleat
--- a/include/figcleat/request/replies.h
+++ b/include/figcleat/request/replies.h
@@ -11,4 +11,7 @@
 /** Headers of every answer that came from a service. */
 [[nodiscard]] http_headers answerHeaders(const request_id &id, http_headers fromService);
 
+/** Headers of an answer that the log kept for a resend of its key. */
+[[nodiscard]] http_headers recordedHeaders(const request_id &id, std::string_view answer);
+
 } // namespace figcleat::request
--- a/src/core/result-code.cc
+++ b/src/core/result-code.cc
@@ -11,7 +11,7 @@
 using enum result_code;
 using enum execution;
 
-constexpr std::array<result_info, 85> table { {
+constexpr std::array<result_info, 86> table { {
     { ok, "ok", ran, 200, 0, "The request ran and its whole answer was delivered." },
     { malformed_request, "malformed_request", not_run, 400, 10, "The HTTP request cannot be parsed." },
     { header_too_large, "header_too_large", not_run, 431, 10, "The headers exceed 16 KiB." },
@@ -78,6 +78,8 @@
       "The configuration has no such data centre." },
     { usage_error, "usage_error", not_applicable, 400, 2, "The command line is wrong." },
     { entry_unreachable, "entry_unreachable", not_applicable, 503, 36, "The entry does not answer." },
+    { command_uncertain, "command_uncertain", not_applicable, 503, 37,
+      "No quorum answered in time; the command may still take effect." },
     { log_damaged, "log_damaged", not_applicable, 500, 40, "A record in the middle of the log is damaged." },
     { log_tail_torn, "log_tail_torn", not_applicable, 500, 41, "The last record was torn and has been cut." },
     { disk_full, "disk_full", not_applicable, 507, 42, "The disk of the data folder is full." },
@@ -137,7 +139,7 @@
     return row != table.end() && row->code == code ? *row : table.back();
 }
 
-const std::array<result_info, 85> &resultTable()
+const std::array<result_info, 86> &resultTable()
 {
     return table;
 }
--- a/src/daemon/control-node.cc
+++ b/src/daemon/control-node.cc
@@ -122,6 +122,10 @@
 
 void control_node::propose(agreed::command command, answer_function answer)
 {
+    if (!m_store) {
+        answer(result_code::not_leader, {});
+        return;
+    }
     const std::int64_t nowMs = m_parts.time->wallNow().time_since_epoch().count();
     // The leader's clock counts, so that entries with a wrong clock cannot expire claims.
     if (auto *claim = std::get_if<agreed::claim_key>(&command)) {
@@ -132,6 +136,10 @@
 
 void control_node::read(read_function answer)
 {
+    if (!m_store) {
+        answer(result_code::not_leader);
+        return;
+    }
     m_reads.emplace(++m_lastId, std::move(answer));
     step(consensus::read { m_lastId });
 }
@@ -139,6 +147,10 @@
 void control_node::changeMembership(consensus::membership_change change, const peer_address &address,
                                     answer_function answer)
 {
+    if (!m_store) {
+        answer(result_code::not_leader, {});
+        return;
+    }
     step(consensus::change_membership { add(std::move(answer)), change, address });
 }
 
--- a/src/daemon/engine-client.cc
+++ b/src/daemon/engine-client.cc
@@ -36,6 +36,18 @@
     return count;
 }
 
+/** Tokens as the usual completion answer counts them; 0 for other answers. */
+std::int64_t completionTokens(const std::string &body)
+{
+    const auto answer = nlohmann::json::parse(body, nullptr, false);
+    const auto usage = answer.is_object() ? answer.find("usage") : answer.end();
+    if (!answer.is_object() || usage == answer.end() || !usage->is_object()) {
+        return 0;
+    }
+    const auto tokens = usage->find("completion_tokens");
+    return tokens != usage->end() && tokens->is_number_integer() ? tokens->get<std::int64_t>() : 0;
+}
+
 } // namespace
 
 /** Calls in progress at the engine. */
@@ -87,6 +99,9 @@
         progress.endMarked = progress.endMarked || seam.find(endMark) != std::string::npos;
         progress.tail = seam.substr(seam.size() - std::min(seam.size(), endMark.size() - 1));
         progress.tokens += countOf(bytes, "data: {");
+        if (!progress.isStream && progress.body.size() + bytes.size() <= maxProbeBytes) {
+            progress.body += bytes;
+        }
         m_onEvent(target::engine_piece { attempt, 0, {}, std::string(bytes) });
     }
 
@@ -95,7 +110,8 @@
         const auto progress = m_progress[attempt];
         m_progress.erase(attempt);
         const bool complete = !progress.isStream || progress.endMarked;
-        m_onEvent(target::engine_finished { attempt, complete, { progress.tokens } });
+        const auto tokens = progress.isStream ? progress.tokens : completionTokens(progress.body);
+        m_onEvent(target::engine_finished { attempt, complete, { tokens } });
     }
 
     void onFailure(attempt_id attempt, bool notSent) override
@@ -111,6 +127,8 @@
         bool endMarked = false;
         std::string tail;
         std::int64_t tokens = 0;
+        /** Start of an answer that is no stream, which tells its tokens itself. */
+        std::string body;
     };
 
     http_client m_client;
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -173,7 +173,7 @@
 {
     carryOutAll(m_proposer.onAnswer(from, message.id, message.code, message.result, message.leader, m_time->now()));
     if (const auto found = m_membershipChanges.find(message.id); found != m_membershipChanges.end()) {
-        const auto decide = std::move(found->second);
+        const auto decide = std::move(found->second.answer);
         m_membershipChanges.erase(found);
         decide(message.code, message.result);
     }
@@ -192,7 +192,7 @@
 void entry_node::on(const peer_address & /*from*/, const usage_answer &message)
 {
     if (const auto found = m_usageReads.find(message.id); found != m_usageReads.end()) {
-        const auto answer = std::move(found->second);
+        const auto answer = std::move(found->second.answer);
         m_usageReads.erase(found);
         answer(message.code, message.rows);
     }
@@ -263,6 +263,7 @@
     }
     carryOutAll(m_proposer.tick(m_time->now()));
     finishGathering();
+    giveUpQuestions();
     sendSummaryCopies();
     step(distribution::replica_event { distribution::tick {} });
     step(request::pipeline_event { request::tick {} });
--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -52,7 +52,7 @@
         return;
     }
     const std::uint64_t id = ++m_lastId;
-    m_membershipChanges.emplace(id, std::move(decide));
+    m_membershipChanges[id] = { std::move(decide), m_time->now() + proposalTimeout };
     m_messenger->send(leader, membership_request { id, add, voter });
 }
 
@@ -64,7 +64,7 @@
         return;
     }
     const std::uint64_t id = ++m_lastId;
-    m_usageReads.emplace(id, std::move(answer));
+    m_usageReads[id] = { std::move(answer), m_time->now() + proposalTimeout };
     m_messenger->send(leader, usage_query { id });
 }
 
@@ -115,6 +115,25 @@
     }
 }
 
+void entry_node::giveUpQuestions()
+{
+    const time_point now = m_time->now();
+    std::erase_if(m_usageReads, [now](const auto &entry) {
+        const bool late = now >= entry.second.deadline;
+        if (late) {
+            entry.second.answer(result_code::agreement_unavailable, {});
+        }
+        return late;
+    });
+    std::erase_if(m_membershipChanges, [now](const auto &entry) {
+        const bool late = now >= entry.second.deadline;
+        if (late) {
+            entry.second.answer(result_code::agreement_unavailable, {});
+        }
+        return late;
+    });
+}
+
 void entry_node::sendSummaryCopies()
 {
     if (m_time->now() < m_nextSummary) {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -76,8 +76,8 @@
     eventLoop.run();
     logFor(part::daemon)->info("Has stopped.");
     spdlog::shutdown();
-    // Closing the sockets was once seen to hang. All state is synced and all answers are sent, so that nothing is
-    // left to tear down.
+    // nng_close of the listener sometimes does not return (nng 1.5.2). All state is synced and all answers are sent, so
+    // that nothing is left to tear down.
     std::_Exit(0);
 }
 
--- a/src/daemon/messenger.cc
+++ b/src/daemon/messenger.cc
@@ -9,6 +9,8 @@
 {
 
 constexpr std::size_t maxPeers = 4096;
+// VMs are replaced for good; their addresses must not fill the tables.
+constexpr duration forgetAfter = std::chrono::minutes(1);
 
 } // namespace
 
@@ -35,7 +37,8 @@
 
 void messenger::send(const peer_address &to, process_message message)
 {
-    m_dialled.try_emplace(to, m_time->now());
+    const time_point now = m_time->now();
+    m_dialled.try_emplace(to, connection { now, now }).first->second.lastUsed = now;
     const auto sent = m_mailbox->send(to, encode(envelope { m_self, m_incarnation, std::move(message) }));
     if (!sent) {
         logFor(part::mailbox)->debug("A message to {} is dropped: {}.", to.value, describe(sent.error().code).name);
@@ -58,18 +61,27 @@
 void messenger::tick()
 {
     const time_point now = m_time->now();
-    for (auto &[address, dialled] : m_dialled) {
+    for (auto &[address, state] : m_dialled) {
         if (address == m_self) {
             continue;
         }
         const auto heard = m_heard.find(address);
-        const time_point last = heard == m_heard.end() ? dialled : std::max(dialled, heard->second.lastHeard);
+        const time_point last
+            = heard == m_heard.end() ? state.dialled : std::max(state.dialled, heard->second.lastHeard);
         // Something between the two ends may have lost track of the connection while new ones work.
         if (now - last >= peerSilence) {
             m_mailbox->reconnect(address);
-            dialled = now;
+            state.dialled = now;
         }
     }
+    std::erase_if(m_dialled, [&](const auto &entry) {
+        const bool unused = now - entry.second.lastUsed >= forgetAfter;
+        if (unused) {
+            m_mailbox->reconnect(entry.first);
+        }
+        return unused;
+    });
+    std::erase_if(m_heard, [&](const auto &entry) { return now - entry.second.lastHeard >= forgetAfter; });
 }
 
 std::vector<peer_address> messenger::newlySilent(duration limit)
--- a/src/daemon/operator-api.cc
+++ b/src/daemon/operator-api.cc
@@ -187,7 +187,11 @@
 
 void operator_api::sendOutcome(exchange_id exchange, result_code code, const agreed::outcome &result)
 {
-    const result_code told = code == result_code::ok ? result.code : code;
+    result_code told = code == result_code::ok ? result.code : code;
+    if (told == result_code::agreement_unavailable) {
+        // That code promises a caller that nothing was run; a command may still be in the log of a voter.
+        told = result_code::command_uncertain;
+    }
     const auto &info = describe(told);
     sendJson(exchange, told == result_code::ok ? statusOk : info.httpStatus,
              { { "code", static_cast<int>(told) },
--- a/src/request/claim.cc
+++ b/src/request/claim.cc
@@ -178,8 +178,8 @@
         return;
     }
     request.attempts.ran = true;
-    emit(reply { request.exchange, static_cast<int>(record.httpStatus),
-                 answerHeaders(request.call.id, { { "X-Figcleat-Recorded", "true" } }), record.answer });
+    emit(reply { request.exchange, static_cast<int>(record.httpStatus), recordedHeaders(request.call.id, record.answer),
+                 record.answer });
     end(request, result_code::ok);
 }
 
--- a/src/request/dispatch.cc
+++ b/src/request/dispatch.cc
@@ -143,6 +143,8 @@
 
 void pipeline::onAttemptLost(request_in_progress &request, result_code code)
 {
+    // A frozen engine would hold the next attempt as well.
+    request.refusedBy.insert(request.target.name);
     cancelAttempt(request);
     forgetAttempt(request);
     if (!request.call.repeatable || (request.stream.hasStarted() && !request.stream.canRestart())) {
--- a/src/request/replies.cc
+++ b/src/request/replies.cc
@@ -43,4 +43,14 @@
     return fromService;
 }
 
+http_headers recordedHeaders(const request_id &id, std::string_view answer)
+{
+    http_headers headers = answerHeaders(id, {});
+    headers.emplace_back("X-Figcleat-Recorded", "true");
+    // The log keeps no headers of the service.
+    const bool isJson = nlohmann::json::accept(answer.begin(), answer.end());
+    headers.emplace_back("Content-Type", isJson ? "application/json" : "application/octet-stream");
+    return headers;
+}
+
 } // namespace figcleat::request
--- a/test/pipeline-test.cc
+++ b/test/pipeline-test.cc
@@ -320,6 +320,7 @@
         const auto answer = test.step(proposal_decided { settle->proposal, result_code::ok, {} });
         CHECK(find<reply>(answer)->status == 201);
         CHECK(find<reply>(answer)->body == "booked");
+        CHECK(headerOf(*find<reply>(answer), "X-Figcleat-Recorded") == "true");
     }
     SECTION("the incarnation that may have run it is gone")
     {
@@ -623,3 +624,24 @@
     REQUIRE(end.has_value());
     CHECK(end->usageLost);
 }
+
+// Guards against a request that waits for its deadline at an engine that has stopped answering.
+TEST_CASE("a lost attempt is repeated at another target", "[request]")
+{
+    bench test;
+    test.announceTarget("t1", "models", 1, 8);
+    test.announceTarget("t2", "models", 1, 1);
+    const auto first = find<send_to_target>(test.completion(false));
+    REQUIRE(first.has_value());
+    const auto attempt = std::get<dispatch>(first->message).attempt;
+    (void)test.step(attempt_finished { attempt, result_code::engine_failed, 0, {} });
+    std::string second;
+    for (const auto &action : test.wait(std::chrono::seconds(1))) {
+        const auto *sent = std::get_if<send_to_target>(&action);
+        if (sent != nullptr && std::holds_alternative<dispatch>(sent->message)) {
+            second = sent->to.value;
+        }
+    }
+    REQUIRE_FALSE(second.empty());
+    CHECK(second != first->to.value);
+}
