--- a/include/figcleat/daemon/entry-node.h
+++ b/include/figcleat/daemon/entry-node.h
@@ -81,6 +81,7 @@
     void giveUpQuestions();
     void heartbeat();
     void tick();
+    void stopIfDrained(bool deadlinePassed);
     void step(const request::pipeline_event &event);
     void step(const distribution::replica_event &event);
     void carryOut(const proposer_action &action);
--- a/include/figcleat/daemon/target-node.h
+++ b/include/figcleat/daemon/target-node.h
@@ -52,6 +52,8 @@
     distribution::replica m_replica;
     /** Nothing is announced before the engine has answered once. */
     bool m_engineSeen = false;
+    /** Request of the dispatch that is being handled, for the log. */
+    request_id m_dispatched;
     std::optional<time_point> m_drainDeadline;
 };
 
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -267,12 +267,18 @@
     sendSummaryCopies();
     step(distribution::replica_event { distribution::tick {} });
     step(request::pipeline_event { request::tick {} });
-    if (m_isDrained && !m_callers->hasUnsentBytes()) {
-        m_loop->stop();
+    if (m_drainDeadline) {
+        stopIfDrained(m_time->now() >= *m_drainDeadline);
     }
-    if (m_drainDeadline && m_time->now() >= *m_drainDeadline) {
-        ensure(m_pipeline.requestsInProgress() == 0, result_code::invariant_graceful_stop,
-               "the drain deadline has passed with requests in progress");
+}
+
+void entry_node::stopIfDrained(bool deadlinePassed)
+{
+    ensure(!deadlinePassed || m_pipeline.requestsInProgress() == 0, result_code::invariant_graceful_stop,
+           "the drain deadline has passed with requests in progress");
+    // A caller that does not read its answer holds up the stop until the deadline and no longer.
+    if (m_isDrained && (deadlinePassed || !m_callers->hasUnsentBytes())) {
+        m_loop->stop();
     }
 }
 
--- a/src/daemon/target-node.cc
+++ b/src/daemon/target-node.cc
@@ -78,7 +78,9 @@
 {
     std::visit(overloaded {
                    [&](const dispatch &message) {
+                       m_dispatched = message.request;
                        step(target::dispatch_received { received.from, message });
+                       m_dispatched = {};
                    },
                    [&](const attempt_cancel &message) { step(target::cancel_received { message }); },
                    [&](const close_attempt &message) {
@@ -135,14 +137,17 @@
 
 void target_node::carryOut(const target::run &action)
 {
-    logFor(part::target)->debug("Runs attempt {}.", action.attempt.number.value);
+    logFor(part::target)
+        ->debug("Request {} runs as attempt {}.", findHeader(action.call.headers, "X-Request-Id"),
+                action.attempt.number.value);
     m_engine->run(action);
 }
 
 void target_node::carryOut(const target::refuse &action)
 {
     logFor(part::target)
-        ->debug("Refuses attempt {}: {}.", action.message.attempt.number.value, describe(action.message.code).name);
+        ->debug("Request {} is refused as attempt {}: {}.", m_dispatched.empty() ? "-" : m_dispatched.value,
+                action.message.attempt.number.value, describe(action.message.code).name);
     m_messenger->send(action.to, action.message);
 }
 
--- a/test/failure-process-test.py
+++ b/test/failure-process-test.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import unittest
+import urllib.request
 
 import processes
 from deployment import call, completion
@@ -130,6 +131,27 @@
                       lambda: (self.deployment.status(index) or {}).get("control", {}).get("role") == "follower", 10)
 
 
+    def test_5_restart_after_500_changes(self):
+        """Guards against a voter that comes back with an older state after hundreds of changes."""
+        leader = self.leader()
+        voter = next(name for name in ("entry-1", "entry-2", "entry-4", "entry-5", "entry-7") if name != leader)
+        index = int(voter.split("-")[1]) - 1
+        at_leader = int(leader.split("-")[1]) - 1
+        for i in range(500):
+            self.set_data_centre(at_leader, "okahandja", "out" if i % 2 == 0 else "in")
+        newest = self.deployment.status(at_leader)["revision"]
+        self.deployment.kill(voter)
+        self.deployment.start_daemon(voter)
+        self.wait_for("the voter has the newest revision",
+                      lambda: (self.deployment.status(index) or {}).get("revision") == newest, 10)
+
+    def set_data_centre(self, entry, name, verb):
+        request = urllib.request.Request(f"http://{self.deployment.operator(entry)}/data-centres/{name}/{verb}",
+                                         data=b"", headers={"Authorization": "Bearer example-operator"})
+        with urllib.request.urlopen(request, timeout=10) as answer:
+            self.assertEqual(json.loads(answer.read())["code"], 0)
+
+
 class ServiceFailureTest(FailureTest):
     base_port = 26000
     engine_options = ("--token-ms", "40")
--- a/test/standin.cc
+++ b/test/standin.cc
@@ -109,6 +109,8 @@
                 m_barred.insert(m_calls.begin()->first);
                 drop(*m_calls.begin()->second);
             }
+            answer(request, 200, R"({"ended":true})");
+            return;
         }
         const std::string attempt = body.value("attempt", "");
         m_barred.insert(attempt);
