Free requests of lost connections in the stand-in; wait for a restarted entry in its test

Change: the stand-in frees such requests; the test waits until the restarted entry is ready; every check stays. Conclusion: both faults were in the tests' own parts.

--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -117,21 +117,17 @@
 
 void entry_node::giveUpQuestions()
 {
-    const time_point now = m_time->now();
-    std::erase_if(m_usageReads, [now](const auto &entry) {
-        const bool late = now >= entry.second.deadline;
-        if (late) {
-            entry.second.answer(result_code::agreement_unavailable, {});
-        }
-        return late;
-    });
-    std::erase_if(m_membershipChanges, [now](const auto &entry) {
-        const bool late = now >= entry.second.deadline;
-        if (late) {
-            entry.second.answer(result_code::agreement_unavailable, {});
-        }
-        return late;
-    });
+    const auto giveUpLate = [now = m_time->now()](auto &questions) {
+        std::erase_if(questions, [now](const auto &entry) {
+            const bool late = now >= entry.second.deadline;
+            if (late) {
+                entry.second.answer(result_code::agreement_unavailable, {});
+            }
+            return late;
+        });
+    };
+    giveUpLate(m_usageReads);
+    giveUpLate(m_membershipChanges);
 }
 
 void entry_node::sendSummaryCopies()
--- a/test/failure-process-test.py
+++ b/test/failure-process-test.py
@@ -213,6 +213,7 @@
                     except OSError:
                         pass
             self.deployment.start_daemon(victim)
+            self.deployment.wait_ready(6, entry=first)
             self.wait_for("the resend gets the recorded answer", lambda: self.book(5, key)[0] == 200, 5)
             whole = [json.loads(r[2]) for r in results if r[0] == 200]
             self.assertTrue(all(body["executions_of_key"] == 1 for body in whole), whole)
--- a/test/standin.cc
+++ b/test/standin.cc
@@ -186,7 +186,11 @@
             evhttp_request_get_connection(request),
             [](evhttp_connection *, void *context) {
                 auto *gone = static_cast<running_call *>(context);
-                gone->request = nullptr;
+                evhttp_request *left = std::exchange(gone->request, nullptr);
+                // libevent leaves a request without a connection to its user.
+                if (evhttp_request_get_connection(left) == nullptr) {
+                    evhttp_request_free(left);
+                }
                 gone->owner->drop(*gone);
             },
             slot.get());
