--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 SANITIZED ?= build-sanitized
 SEED ?= 1
 RUNS ?= 2000
-SOURCES = $(shell find include src test bench -name '*.h' -o -name '*.cc')
-UNITS = $(shell find src test bench -name '*.cc')
+SOURCES = $(shell find include src platform test bench -name '*.h' -o -name '*.cc')
+UNITS = $(shell find src platform test bench -name '*.cc')
 
 .PHONY: install build test test-sanitized demo measure soak format format-check lint clean
 
--- a/include/figcleat/consensus/raft.h
+++ b/include/figcleat/consensus/raft.h
@@ -23,6 +23,12 @@
 /** Longest wait for the answer to a proposal or read. */
 inline constexpr duration proposalDeadline = std::chrono::seconds(3);
 inline constexpr duration joinInterval = std::chrono::milliseconds(500);
+/** A process that asked to join and has been silent for this long is not waiting any more. */
+inline constexpr duration joinerSilence = 4 * joinInterval;
+/** With automatic seats, a silent voter loses its seat to a process that has caught up. */
+inline constexpr duration seatSilence = std::chrono::milliseconds(1500);
+/** With automatic seats, a silent learner makes room for others. */
+inline constexpr duration learnerSilence = std::chrono::seconds(8);
 
 /** Proposals without an answer. */
 inline constexpr std::size_t maxPendingProposals = 4096;
@@ -60,6 +66,13 @@
     std::uint64_t snapshotBytes = std::uint64_t { 16 } * 1024 * 1024;
     /** Entries kept in memory before the snapshot, up to `maxTrailingBytes`, for followers that are a little behind. */
     std::uint64_t trailingEntries = 512;
+    /**
+     * Voters that the leader aims at, from processes that ask to join: it fills empty seats, and gives the seat of a
+     * silent voter to a process that has caught up. 0 if only operators change the set of addresses.
+     */
+    std::size_t automaticSeats = 0;
+    /** False if this voter may only join a cluster that exists. */
+    bool mayFound = true;
 };
 
 // Events.
@@ -105,6 +118,12 @@
     remove,
 };
 
+/** Further addresses at which this process may ask for a seat. */
+struct learn_contacts
+{
+    std::vector<peer_address> addresses;
+};
+
 struct change_membership
 {
     std::uint64_t id = 0;
@@ -119,8 +138,8 @@
     std::string bytes;
 };
 
-using raft_event
-    = std::variant<tick, receive, propose, synced, persist_failed, read, change_membership, snapshot_taken>;
+using raft_event = std::variant<tick, receive, propose, synced, persist_failed, read, change_membership, snapshot_taken,
+                                learn_contacts>;
 
 // Actions, to be carried out in order.
 
--- a/include/figcleat/daemon/control-node.h
+++ b/include/figcleat/daemon/control-node.h
@@ -47,6 +47,8 @@
     /** Answers once this voter's state holds all that was acknowledged before the call. */
     void read(read_function answer);
     void changeMembership(consensus::membership_change change, const peer_address &address, answer_function answer);
+    /** Further addresses at which the log may ask for a seat. */
+    void learnContacts(std::vector<peer_address> addresses);
     void tick();
 
     [[nodiscard]] const agreed::state &state() const;
--- /dev/null
+++ b/include/figcleat/daemon/node-links.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "figcleat/core/clock.h"
+#include "figcleat/forward/node-messages.h"
+#include "figcleat/forward/node-settings.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace figcleat
+{
+
+/**
+ * The coordinators that a node polls: the seeds of its settings, and those that coordinators name.
+ *
+ * The seeds may all be replaced during the life of a node, so learned coordinators count as much.
+ */
+class coordinator_links
+{
+public:
+    /** A learned coordinator that has been silent for this long is not polled any more. */
+    static constexpr duration forgetAfter = std::chrono::seconds(30);
+    static constexpr std::size_t maxCoordinators = 64;
+
+    struct link
+    {
+        incarnation_id incarnation {};
+        /** Version of the coordinator's directory that this node has. */
+        std::uint64_t directoryVersion = 0;
+        time_point heard {};
+        std::uint32_t fronts = 0;
+        peer_address leader {};
+        bool isSeed = false;
+    };
+
+    coordinator_links(const std::vector<peer_address> &seeds, peer_address self, time_point now);
+
+    void onUpdate(const peer_address &from, incarnation_id incarnation, const forward::node_update &update,
+                  time_point now);
+    void setSeeds(const std::vector<peer_address> &seeds, time_point now);
+    void forgetSilent(time_point now);
+
+    [[nodiscard]] const std::map<peer_address, link> &links() const;
+    /** Addresses of all links and of this node if it is a coordinator. */
+    [[nodiscard]] std::vector<peer_address> addresses() const;
+    /** Coordinators heard within `window`. */
+    [[nodiscard]] std::size_t heardWithin(duration window, time_point now) const;
+    /** The most fronts that a coordinator has counted lately; 0 if none has. */
+    [[nodiscard]] std::uint32_t fronts(duration window, time_point now) const;
+
+private:
+    void add(const peer_address &address, bool isSeed, time_point now);
+
+    peer_address m_self;
+    std::map<peer_address, link> m_links;
+};
+
+} // namespace figcleat
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -3,6 +3,7 @@
 #include "figcleat/agreed/commands.h"
 #include "figcleat/consensus/messages.h"
 #include "figcleat/distribution/messages.h"
+#include "figcleat/forward/node-messages.h"
 #include "figcleat/report/service-level.h"
 #include "figcleat/target/messages.h"
 #include "figcleat/wire/codec.h"
@@ -97,7 +98,8 @@
     = std::variant<announce, dispatch, attempt_refused, answer_piece, attempt_finished, attempt_cancel, close_attempt,
                    attempt_closed, peer_state, proposal, proposal_answer, usage_query, usage_answer, membership_request,
                    summary_query, summary_answer, distribution::heartbeat, distribution::fetch_configuration,
-                   distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message>;
+                   distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message,
+                   forward::node_poll, forward::node_update>;
 
 struct envelope
 {
--- /dev/null
+++ b/include/figcleat/forward/node-messages.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "figcleat/agreed/commands.h"
+#include "figcleat/forward/target-directory.h"
+
+#include <optional>
+#include <vector>
+
+/** Messages between nodes that forward requests and coordinators, and among coordinators. */
+namespace figcleat::forward
+{
+
+enum class node_role : std::uint8_t {
+    /** Forwards callers' requests. */
+    front,
+    /** Takes registrations and operators' commands. */
+    coordinator,
+};
+
+/** Asks a coordinator for what has changed; sent on a period, so that a lost update is made good. */
+struct node_poll
+{
+    vm_id vm;
+    node_role role = node_role::front;
+    /** Life of the coordinator to which `directoryVersion` belongs. */
+    incarnation_id coordinator;
+    /** Version of the coordinator's directory that the node has. */
+    std::uint64_t directoryVersion = 0;
+    revision_number revision;
+
+    MSGPACK_DEFINE(vm, role, coordinator, directoryVersion, revision)
+};
+
+/** What a coordinator knows; sent as the answer to a poll and at once when something changes. */
+struct node_update
+{
+    std::uint64_t directoryVersion = 0;
+    /** Version after which `changes` begin. */
+    std::uint64_t since = 0;
+    std::vector<registration> changes;
+    /** Configuration in force, if the node has an older one. */
+    std::vector<agreed::configuration_in_force> configuration;
+    /** Coordinators that this one knows, itself included. */
+    std::vector<peer_address> coordinators;
+    /** Leader of the replicated log; empty if not known. */
+    peer_address leader;
+    /** Nodes that forward requests and have polled lately. */
+    std::uint32_t fronts = 0;
+
+    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, fronts)
+};
+
+} // namespace figcleat::forward
+
+MSGPACK_ADD_ENUM(figcleat::forward::node_role)
--- /dev/null
+++ b/include/figcleat/forward/target-pool.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "figcleat/forward/route-table.h"
+#include "figcleat/forward/target-directory.h"
+
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace figcleat::forward
+{
+
+/** Requests at a target as the target counts them, of all callers. */
+struct target_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/** How an attempt at a target ended, as evidence of the target's health. */
+enum class attempt_result : std::uint8_t {
+    answered,
+    /** The target refused and did not run the request. */
+    shed,
+    /** No connection. */
+    unreachable,
+    /** Broken off, spoiled, silent or answered with an error of its own. */
+    failed,
+    /** Ended by the caller or by this node; says nothing about the target. */
+    abandoned,
+};
+
+struct pool_settings
+{
+    data_centre_id dataCentre;
+    /** A registration says the slots; this many more requests than slots may be at a target. */
+    std::uint32_t waitingPerTarget = 2;
+    /** Share of the limits over all nodes that the nodes use, for a node that has not been counted yet. */
+    double limitShare = 0.8;
+    std::uint64_t seed = 1;
+};
+
+/**
+ * Chooses targets and bounds what this node sends to each.
+ *
+ * Limits that hold over all nodes together (requests to a cold target, connections) are split evenly among the nodes,
+ * so a node that cannot hear the others still keeps to its part.
+ */
+class target_pool
+{
+public:
+    explicit target_pool(pool_settings settings);
+
+    void setDirectory(const target_directory *directory);
+    void setRoutes(std::shared_ptr<const route_index> routes);
+    void setEvacuated(std::set<data_centre_id> dataCentres);
+    /** Nodes that send requests, this one included. */
+    void setNodeCount(std::uint32_t nodes);
+
+    /**
+     * A target for one more request.
+     *
+     * Codes: `no_target` if none is known and usable, `target_at_limit` if those that are usable have no room.
+     */
+    [[nodiscard]] expected<directory_entry> choose(const service_id &service, const std::set<target_id> &excluded,
+                                                   time_point now);
+    /** True if `target` may still get requests: ready, its data centre in service. */
+    [[nodiscard]] bool isOpen(const directory_entry &entry) const;
+
+    void onStarted(const target_id &target, time_point now);
+    void onEnded(const target_id &target, attempt_result result, time_point now);
+    /** A sign of life in the middle of an attempt. */
+    void onProgress(const target_id &target, time_point now);
+    void onLoad(const target_id &target, const target_load &load, time_point now);
+    /** Another target was named as the cause of a failure. */
+    void onBlamed(const target_id &target, time_point now);
+
+    /** Targets of the service that answered something within `window`. */
+    [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
+    /** Requests at targets of the service, and the places that they have. */
+    [[nodiscard]] target_load totalLoad(const service_id &service, time_point now) const;
+    void forgetUnknown();
+
+private:
+    struct target_record
+    {
+        std::uint32_t inFlight = 0;
+        /** Requests of other nodes at the target as last reported, and when. */
+        std::uint32_t others = 0;
+        time_point othersAt {};
+        std::uint32_t failuresInRow = 0;
+        /** Share of attempts that failed, smoothed. */
+        double failureShare = 0;
+        time_point blockedUntil {};
+        time_point lastProgress {};
+        /** Cold start: tokens that allow one request each. */
+        double coldTokens = 1;
+        time_point coldAt {};
+    };
+
+    [[nodiscard]] double load(const target_record &record, time_point now) const;
+    [[nodiscard]] bool hasRoom(const directory_entry &entry, target_record &record, time_point now) const;
+    [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
+    /** A cold target bears a bounded rate of requests; refills the tokens of this node's share. */
+    [[nodiscard]] bool hasColdToken(const directory_entry &entry, target_record &record, time_point now) const;
+    void block(target_record &record, duration base, time_point now) const;
+
+    pool_settings m_settings;
+    const target_directory *m_directory = nullptr;
+    std::shared_ptr<const route_index> m_routes;
+    std::set<data_centre_id> m_evacuated;
+    std::uint32_t m_nodes;
+    std::unordered_map<target_id, target_record> m_records;
+    std::mt19937_64 m_random;
+};
+
+} // namespace figcleat::forward
--- a/include/figcleat/http/client.h
+++ b/include/figcleat/http/client.h
@@ -27,6 +27,20 @@
     virtual void onFailure(attempt_id attempt, bool notSent) = 0;
 };
 
+struct http_client_settings
+{
+    /** A call that has not reached its target by then has failed without being sent; 0 for no such limit. */
+    duration connectTimeout { 0 };
+    /** A call without any byte of its answer for so long has failed. */
+    duration firstByteTimeout {};
+    /** A call has failed that is silent for so long after the first byte. */
+    duration progressTimeout {};
+    /** An answer without a length is whole if its connection ends without a reset. */
+    bool endOfConnectionIsEnd = false;
+    /** The Host header of the call goes before the address. */
+    bool keepHost = false;
+};
+
 /**
  * HTTP client over evhttp: one connection for each call, so that a silent connection holds back one call only.
  *
@@ -35,12 +49,8 @@
 class http_client
 {
 public:
-    /**
-     * @param firstByteTimeout a call without any byte of its answer for so long has failed.
-     * @param progressTimeout a call has failed that is silent for so long after the first byte.
-     */
-    http_client(event_base *loop, std::string ip, std::uint16_t port, duration firstByteTimeout,
-                duration progressTimeout, http_client_handler &handler);
+    http_client(event_base *loop, std::string ip, std::uint16_t port, http_client_settings settings,
+                http_client_handler &handler);
     ~http_client();
     http_client(const http_client &) = delete;
     http_client &operator=(const http_client &) = delete;
--- a/include/figcleat/http/server.h
+++ b/include/figcleat/http/server.h
@@ -75,6 +75,10 @@
     void breakStream(exchange_id exchange);
     /** Stops listening; exchanges in progress go on. */
     void stopListening();
+    /** Every further answer closes its connection. */
+    void closeAfterAnswers();
+    /** Closes connections on which no request is being read or answered. */
+    void closeIdle();
     /** True while some answer has not been passed on to its caller's connection in full. */
     [[nodiscard]] bool hasUnsentBytes() const;
 
--- a/include/figcleat/settings/daemon-settings.h
+++ b/include/figcleat/settings/daemon-settings.h
@@ -54,6 +54,10 @@
     std::string dataFolder;
     /** Mailboxes of all voters of the first configuration, this one among them. */
     std::vector<peer_address> voters;
+    /** Voters to fill from processes that ask to join; 0 if only operators change the set of addresses. */
+    std::size_t automaticSeats = 0;
+    /** False if this voter may only join a cluster that exists. */
+    bool mayFound = true;
 };
 
 struct target_settings
--- a/src/cli/operator-client.cc
+++ b/src/cli/operator-client.cc
@@ -107,7 +107,8 @@
     loop eventLoop;
     answer_collector collector(eventLoop);
     {
-        http_client client(eventLoop.base(), m_entry.ip, m_entry.port, m_timeout, m_timeout, collector);
+        http_client client(eventLoop.base(), m_entry.ip, m_entry.port,
+                           { .firstByteTimeout = m_timeout, .progressTimeout = m_timeout }, collector);
         client.start(onlyCall, { method, path, { { "Authorization", "Bearer " + m_credential } }, body });
         eventLoop.run();
     }
--- a/src/consensus/genesis.cc
+++ b/src/consensus/genesis.cc
@@ -21,17 +21,18 @@
 void raft_core::tickJoining()
 {
     // The entry that made this a learner may have been lost with its leader, so a learner without one asks again.
+    // With automatic seats, a voter that no leader contacts may have lost its seat without hearing of it.
     const bool hearsLeader = m_leader && m_now - m_leaderContact < electionTimeoutMax;
-    if (isSelfVoter() || hearsLeader || m_now < m_nextJoin) {
+    const bool keepsSeat = isSelfVoter() && (m_settings.automaticSeats == 0 || m_role == raft_role::leader);
+    if (keepsSeat || hearsLeader || m_now < m_nextJoin) {
         return;
     }
     m_nextJoin = m_now + joinInterval;
-    for (const auto &one : m_settings.voters) {
-        if (one != m_settings.self) {
-            sendTo(one, join_request { headerTo({}) });
-        }
+    for (const auto &one : contacts()) {
+        sendTo(one, join_request { headerTo({}) });
     }
-    if (founderOf(m_settings.voters) != m_settings.self || !m_log.members().members.empty()) {
+    const bool mayFound = m_settings.mayFound && founderOf(m_settings.voters) == m_settings.self;
+    if (!mayFound || !m_log.members().members.empty()) {
         return;
     }
     const bool hasPromised = m_syncedState == m_state && m_state.cluster.value == m_self.value;
--- a/src/consensus/raft-core.h
+++ b/src/consensus/raft-core.h
@@ -68,6 +68,13 @@
     log_index index;
 };
 
+/** A process that asked for a seat. */
+struct waiting_joiner
+{
+    voter_identity identity;
+    time_point askedAt;
+};
+
 /** What a peer has been told by one identity, for its `standing_query`. */
 struct known_standing
 {
@@ -173,6 +180,11 @@
     [[nodiscard]] bool canChangeMembership() const;
     [[nodiscard]] bool caughtUp(const member &learner) const;
     [[nodiscard]] const member *silentPredecessor(const member &learner) const;
+    void handle(const learn_contacts &event);
+    [[nodiscard]] bool mayTakeIn(const peer_address &address) const;
+    [[nodiscard]] std::vector<peer_address> contacts() const;
+    [[nodiscard]] duration silenceOf(const member &one) const;
+    [[nodiscard]] const member *silentVoter() const;
     void leaveIfRemoved();
 
     raft_settings m_settings;
@@ -210,6 +222,7 @@
 
     // Joining.
     time_point m_nextJoin;
+    std::set<peer_address> m_contacts;
     std::map<peer_address, voter_identity> m_empty;
     std::map<peer_address, voter_identity> m_promised;
     bool m_founding = false;
@@ -218,7 +231,7 @@
     // Leader.
     std::map<voter_identity, follower_progress> m_peers;
     time_point m_nextHeartbeat;
-    std::map<peer_address, voter_identity> m_joiners;
+    std::map<peer_address, waiting_joiner> m_joiners;
 
     // Clients.
     std::deque<waiting_proposal> m_waiting;
--- a/src/consensus/seats.cc
+++ b/src/consensus/seats.cc
@@ -43,11 +43,56 @@
 void raft_core::onJoin(const peer_address &from, const join_request &message)
 {
     // Only a known address may come back with a new identity; operators open seats for other addresses.
-    if (m_role == raft_role::leader && hasAddress(m_log.members(), from)) {
-        m_joiners[from] = message.header.sender;
+    const bool isKnown = hasAddress(m_log.members(), from) || m_settings.automaticSeats > 0;
+    if (m_role == raft_role::leader && isKnown) {
+        m_joiners[from] = { message.header.sender, m_now };
     }
 }
 
+void raft_core::handle(const learn_contacts &event)
+{
+    constexpr std::size_t maxContacts = 64;
+    for (const auto &one : event.addresses) {
+        if (m_contacts.size() < maxContacts) {
+            m_contacts.insert(one);
+        }
+    }
+}
+
+/** Every address at which a leader may be. */
+std::vector<peer_address> raft_core::contacts() const
+{
+    std::set<peer_address> all = m_contacts;
+    all.insert(m_settings.voters.begin(), m_settings.voters.end());
+    for (const auto &one : m_log.members().members) {
+        all.insert(one.address);
+    }
+    all.erase(m_settings.self);
+    return { all.begin(), all.end() };
+}
+
+bool raft_core::mayTakeIn(const peer_address &address) const
+{
+    const auto &members = m_log.members();
+    return hasAddress(members, address) || (m_settings.automaticSeats > 0 && members.members.size() < maxVoters);
+}
+
+duration raft_core::silenceOf(const member &one) const
+{
+    const auto peer = m_peers.find(one.identity);
+    return peer == m_peers.end() ? duration {} : m_now - peer->second.lastContact;
+}
+
+const member *raft_core::silentVoter() const
+{
+    for (const auto &one : m_log.members().members) {
+        if (one.role == member_role::voter && one.identity != m_self && silenceOf(one) >= seatSilence) {
+            return &one;
+        }
+    }
+    return nullptr;
+}
+
 /** One change at a time, and none before this term has committed an entry: else two majorities could miss each other.
  */
 bool raft_core::canChangeMembership() const
@@ -94,18 +139,32 @@
 std::optional<membership> raft_core::nextSeatChange() const
 {
     const auto &members = m_log.members();
-    for (const auto &[address, identity] : m_joiners) {
-        if (hasAddress(members, address) && members.find(address, identity) == nullptr) {
-            return withLearner(members, address, identity);
+    for (const auto &[address, joiner] : m_joiners) {
+        const bool isWaiting = m_now - joiner.askedAt < joinerSilence;
+        if (isWaiting && mayTakeIn(address) && members.find(address, joiner.identity) == nullptr) {
+            return withLearner(members, address, joiner.identity);
         }
     }
+    const bool isAutomatic = m_settings.automaticSeats > 0;
     for (const auto &one : members.members) {
-        if (one.role != member_role::learner || !caughtUp(one)) {
+        if (one.role != member_role::learner) {
+            continue;
+        }
+        if (isAutomatic && one.identity.value != 0 && silenceOf(one) >= learnerSilence) {
+            return without(members, one);
+        }
+        if (!caughtUp(one)) {
             continue;
         }
         if (const auto *old = silentPredecessor(one)) {
             return without(members, *old);
         }
+        if (isAutomatic && members.voterCount() >= m_settings.automaticSeats) {
+            if (const auto *silent = silentVoter()) {
+                return without(members, *silent);
+            }
+            continue;
+        }
         const bool isSeatTaken
             = std::any_of(members.members.begin(), members.members.end(), [&one](const member &other) {
                   return other.role == member_role::voter && other.address == one.address;
--- a/src/daemon/control-node.cc
+++ b/src/daemon/control-node.cc
@@ -40,6 +40,8 @@
 {
     m_log.self = self;
     m_log.voters = settings.voters;
+    m_log.automaticSeats = settings.automaticSeats;
+    m_log.mayFound = settings.mayFound;
     m_log.seed = random;
     m_flush = m_parts.eventLoop->deferred([this] { flush(); });
 }
@@ -154,6 +156,11 @@
     step(consensus::change_membership { add(std::move(answer)), change, address });
 }
 
+void control_node::learnContacts(std::vector<peer_address> addresses)
+{
+    step(consensus::learn_contacts { std::move(addresses) });
+}
+
 void control_node::tick()
 {
     reopenIfHalted();
--- /dev/null
+++ b/src/daemon/coordinator-node.cc
@@ -0,0 +1,372 @@
+#include "figcleat/daemon/coordinator-node.h"
+
+#include "figcleat/core/log.h"
+#include "figcleat/core/overloaded.h"
+#include "figcleat/wire/codec.h"
+
+#include <algorithm>
+
+namespace figcleat
+{
+
+namespace
+{
+
+constexpr duration tickPeriod = std::chrono::milliseconds(50);
+/** Coordinators exchange registrations this often; a target may report to another one each time. */
+constexpr duration pollPeriod = std::chrono::milliseconds(300);
+/** A node that has not polled for this long is not counted. */
+constexpr duration subscriberSilence = std::chrono::seconds(3);
+/** Without word of any other coordinator for this long, this one is taken to be cut off. */
+constexpr duration isolationSilence = std::chrono::milliseconds(1200);
+/** After its start, time in which a coordinator finds the others. */
+constexpr duration startPeriod = std::chrono::seconds(2);
+constexpr std::size_t maxSubscribers = 4096;
+
+auto logger()
+{
+    return logFor(part::agreed);
+}
+
+} // namespace
+
+expected<std::unique_ptr<coordinator_node>> coordinator_node::open(const forward::node_settings &settings,
+                                                                   const forward::dialect &language, loop &eventLoop,
+                                                                   const clock &time, std::uint64_t random)
+{
+    auto opened = std::unique_ptr<coordinator_node>(new coordinator_node(settings, language, eventLoop, time, random));
+    if (const auto started = opened->start(random); !started) {
+        return tl::unexpected<error>(started.error());
+    }
+    return opened;
+}
+
+coordinator_node::coordinator_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
+                                   const clock &time, std::uint64_t random)
+    : m_settings(std::move(settings))
+    , m_dialect(&language)
+    , m_loop(&eventLoop)
+    , m_time(&time)
+    , m_incarnation { random | 1U }
+    , m_startedAt(time.now())
+    , m_links(m_settings.seeds, { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) }, time.now())
+{
+}
+
+expected<void> coordinator_node::start(std::uint64_t random)
+{
+    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
+    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
+                                    [this](const envelope &received) { receive(received); });
+    if (!messages) {
+        return tl::unexpected<error>(messages.error());
+    }
+    m_messenger = std::move(*messages);
+    control_settings own;
+    own.dataFolder = m_settings.dataFolder;
+    own.voters = m_settings.seeds;
+    own.automaticSeats = 2 * std::size_t { m_settings.bounds.toleratedLosses } + 1;
+    own.mayFound = m_settings.isFirstStart;
+    control_node::parts wiring;
+    wiring.eventLoop = m_loop;
+    wiring.time = m_time;
+    wiring.send
+        = [this](const peer_address &to, const consensus::raft_message &message) { m_messenger->send(to, message); };
+    wiring.onCommitted = [this](const agreed::configuration_in_force &committed) {
+        logger()->info("event=configuration revision={} version={} data_centres_out={}", committed.revision.value,
+                       committed.number, committed.dataCentresOut.size());
+        publish();
+    };
+    auto control = control_node::open(own, self, random, std::move(wiring));
+    if (!control) {
+        return tl::unexpected<error>(control.error());
+    }
+    m_control = std::move(*control);
+    http_limits limits;
+    limits.bodyBytes = maxMessageBytes;
+    auto server = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, limits, *this);
+    if (!server) {
+        return tl::unexpected<error>(server.error());
+    }
+    m_server = std::move(*server);
+    m_loop->every(tickPeriod, [this] { tick(); });
+    m_loop->every(pollPeriod, [this] { pollOthers(); });
+    return {};
+}
+
+void coordinator_node::drain()
+{
+    logger()->info("event=stop calls={}", m_open.size());
+    m_stopping = true;
+    m_server->stopListening();
+    m_server->closeAfterAnswers();
+}
+
+void coordinator_node::reload(const forward::node_settings &settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_links.setSeeds(settings.seeds, m_time->now());
+    logger()->info("event=reload seeds={}", settings.seeds.size());
+}
+
+void coordinator_node::onRequest(exchange_id exchange, http_request request)
+{
+    auto call = m_dialect->decodeCall(request);
+    m_open[exchange] = std::move(request);
+    if (!call) {
+        logger()->warn("event=call_refused path={} code={} reason={}", m_open[exchange].path,
+                       describe(call.error().code).name, call.error().detail);
+        answer(exchange, { .code = call.error().code, .detail = call.error().detail });
+        return;
+    }
+    std::visit([&](const auto &what) { carryOut(exchange, what); }, *call);
+}
+
+void coordinator_node::onCallerGone(exchange_id exchange)
+{
+    m_open.erase(exchange);
+}
+
+void coordinator_node::onRejected(result_code code)
+{
+    logger()->warn("event=call_rejected code={}", describe(code).name);
+}
+
+void coordinator_node::answer(exchange_id exchange, const forward::coordinator_answer &what)
+{
+    const auto found = m_open.find(exchange);
+    if (found == m_open.end()) {
+        return;
+    }
+    const auto encoded = m_dialect->encodeAnswer(found->second, what);
+    m_open.erase(found);
+    m_server->reply(exchange, encoded.status, encoded.headers, encoded.body);
+}
+
+bool coordinator_node::isConnected() const
+{
+    const time_point now = m_time->now();
+    return m_links.links().empty() || m_links.heardWithin(isolationSilence, now) > 0 || now - m_startedAt < startPeriod;
+}
+
+void coordinator_node::carryOut(exchange_id exchange, const forward::register_target &call)
+{
+    if (!isConnected()) {
+        answer(exchange, { .code = result_code::agreement_unavailable, .detail = "no other coordinator is heard" });
+        return;
+    }
+    const auto &what = call.what;
+    if (m_directory.merge(what, m_time->now())) {
+        logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{}",
+                       what.target.value, what.service.value, what.address, static_cast<int>(what.state),
+                       what.coldLeftMs, what.order.startedMs, what.order.sequence);
+        publish();
+    }
+    answer(exchange, {});
+}
+
+void coordinator_node::carryOut(exchange_id exchange, const forward::deregister_target &call)
+{
+    if (!isConnected()) {
+        answer(exchange, { .code = result_code::agreement_unavailable, .detail = "no other coordinator is heard" });
+        return;
+    }
+    if (m_directory.leave(call.target, call.startedMs, m_time->now())) {
+        logger()->info("event=target target={} state=gone started={}", call.target.value, call.startedMs);
+        publish();
+    }
+    answer(exchange, {});
+}
+
+peer_address coordinator_node::leader() const
+{
+    const auto known = m_control->status().leader;
+    if (known) {
+        return *known;
+    }
+    for (const auto &[address, link] : m_links.links()) {
+        if (!link.leader.empty() && m_time->now() - link.heard < isolationSilence) {
+            return link.leader;
+        }
+    }
+    return {};
+}
+
+bool coordinator_node::redirect(exchange_id exchange)
+{
+    const auto status = m_control->status();
+    if (status.role == consensus::raft_role::leader) {
+        return false;
+    }
+    const auto address = parseSocketAddress(leader().value);
+    if (!address) {
+        answer(exchange, { .code = result_code::not_leader, .detail = "no leader is known" });
+    } else {
+        answer(exchange,
+               { .code = result_code::not_leader,
+                 .detail = "another coordinator leads",
+                 .askInstead = toString(socket_address { address->ip, m_settings.coordinatorPort }) });
+    }
+    return true;
+}
+
+void coordinator_node::carryOut(exchange_id exchange, const forward::put_configuration &call)
+{
+    const auto routes = m_dialect->decodeRoutes(call.content);
+    const auto valid = routes ? forward::check(*routes) : tl::unexpected<error>(routes.error());
+    if (!valid) {
+        logger()->warn("event=configuration_refused version={} reason={}", call.version, valid.error().detail);
+        answer(exchange, { .code = valid.error().code, .detail = valid.error().detail });
+        return;
+    }
+    if (call.version <= m_control->state().configuration().number) {
+        // What is in force has this version or a higher one, so the call changes nothing.
+        answer(exchange, {});
+        return;
+    }
+    if (!redirect(exchange)) {
+        propose(exchange, agreed::submit_configuration { call.version, call.content, {} });
+    }
+}
+
+void coordinator_node::carryOut(exchange_id exchange, const forward::set_data_centre_service &call)
+{
+    const auto &known = m_settings.dataCentres;
+    if (std::find(known.begin(), known.end(), call.dataCentre) == known.end()) {
+        answer(exchange, { .code = result_code::unknown_data_centre, .detail = call.dataCentre.value });
+        return;
+    }
+    if (!redirect(exchange)) {
+        propose(exchange, agreed::set_data_centre { call.dataCentre, call.inService });
+    }
+}
+
+void coordinator_node::propose(exchange_id exchange, agreed::command command)
+{
+    m_control->propose(std::move(command), [this, exchange](result_code code, const agreed::outcome &result) {
+        const bool isOvertaken = result.code == result_code::configuration_number_too_low
+            || result.code == result_code::configuration_number_taken;
+        const result_code decided = code != result_code::ok ? code : (isOvertaken ? result_code::ok : result.code);
+        logger()->info("event=command code={} revision={} overtaken={} detail={}", describe(decided).name,
+                       result.revision.value, isOvertaken, result.detail);
+        answer(exchange, { .code = decided, .detail = result.detail });
+    });
+}
+
+void coordinator_node::carryOut(exchange_id exchange, const forward::get_configuration & /*call*/)
+{
+    if (redirect(exchange)) {
+        return;
+    }
+    m_control->read([this, exchange](result_code code) {
+        const auto &held = m_control->state().configuration();
+        if (code == result_code::ok && held.revision.value == 0) {
+            answer(exchange, { .code = result_code::not_configured });
+            return;
+        }
+        answer(exchange, { .code = code, .content = held.content });
+    });
+}
+
+void coordinator_node::receive(const envelope &received)
+{
+    std::visit(overloaded {
+                   [&](const consensus::raft_message &message) { m_control->receive(received.from, message); },
+                   [&](const forward::node_poll &poll) { onPoll(received, poll); },
+                   [&](const forward::node_update &update) { onUpdate(received, update); },
+                   [](const auto &) {},
+               },
+               received.message);
+}
+
+void coordinator_node::onPoll(const envelope &received, const forward::node_poll &poll)
+{
+    if (m_subscribers.size() >= maxSubscribers && !m_subscribers.contains(received.from)) {
+        logger()->warn("event=subscriber_refused vm={} subscribers={}", poll.vm.value, m_subscribers.size());
+        return;
+    }
+    auto &who = m_subscribers[received.from];
+    who = { received.incarnation, poll.role, m_time->now(),
+            poll.coordinator == m_incarnation ? poll.directoryVersion : 0, poll.revision };
+    update(received.from, who);
+}
+
+void coordinator_node::update(const peer_address &to, subscriber &who)
+{
+    const auto filter = who.role == forward::node_role::coordinator ? forward::change_filter::touched
+                                                                    : forward::change_filter::changed;
+    forward::node_update message;
+    message.directoryVersion = m_directory.version();
+    message.since = who.directoryVersion;
+    message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
+    const auto &held = m_control->state().configuration();
+    if (who.role == forward::node_role::front && held.revision > who.revision) {
+        message.configuration.push_back(held);
+    }
+    message.coordinators = m_links.addresses();
+    message.leader = m_control->status().leader.value_or(peer_address {});
+    for (const auto &[address, one] : m_subscribers) {
+        const bool counts = one.role == forward::node_role::front && m_time->now() - one.heard < subscriberSilence;
+        message.fronts += counts ? 1 : 0;
+    }
+    who.directoryVersion = message.directoryVersion;
+    who.revision = std::max(who.revision, held.revision);
+    m_messenger->send(to, std::move(message));
+}
+
+void coordinator_node::publish()
+{
+    for (auto &[address, who] : m_subscribers) {
+        if (m_time->now() - who.heard < subscriberSilence) {
+            update(address, who);
+        }
+    }
+}
+
+void coordinator_node::onUpdate(const envelope &received, const forward::node_update &update)
+{
+    const time_point now = m_time->now();
+    m_links.onUpdate(received.from, received.incarnation, update, now);
+    bool isNews = false;
+    for (const auto &one : update.changes) {
+        isNews = m_directory.merge(one, now) || isNews;
+    }
+    if (isNews) {
+        publish();
+    }
+}
+
+void coordinator_node::pollOthers()
+{
+    const time_point now = m_time->now();
+    m_links.forgetSilent(now);
+    std::erase_if(m_subscribers,
+                  [now](const auto &entry) { return now - entry.second.heard >= coordinator_links::forgetAfter; });
+    m_control->learnContacts(m_links.addresses());
+    for (const auto &[address, link] : m_links.links()) {
+        m_messenger->send(address,
+                          forward::node_poll { m_settings.vm, forward::node_role::coordinator, link.incarnation,
+                                               link.directoryVersion, m_control->state().configuration().revision });
+    }
+    if (m_directory.expire(now)) {
+        logger()->warn("event=target_expired targets={}", m_directory.entries().size());
+        publish();
+    }
+    const bool hasLeader = m_control->status().leader.has_value();
+    if (hasLeader != m_hasLeader) {
+        m_hasLeader = hasLeader;
+        logger()->warn("event=leader_{} leader={} term={}", hasLeader ? "regained" : "lost", leader().value,
+                       m_control->status().term.value);
+    }
+}
+
+void coordinator_node::tick()
+{
+    m_messenger->tick();
+    m_control->tick();
+    if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
+        m_loop->stop();
+    }
+}
+
+} // namespace figcleat
--- a/src/daemon/engine-client.cc
+++ b/src/daemon/engine-client.cc
@@ -55,7 +55,8 @@
 {
 public:
     calls(loop &eventLoop, const socket_address &engine, event_function onEvent)
-        : m_client(eventLoop.base(), engine.ip, engine.port, firstByteTimeout, progressTimeout, *this)
+        : m_client(eventLoop.base(), engine.ip, engine.port,
+                   { .firstByteTimeout = firstByteTimeout, .progressTimeout = progressTimeout }, *this)
         , m_onEvent(std::move(onEvent))
     {
     }
@@ -142,7 +143,8 @@
 public:
     probes(loop &eventLoop, const socket_address &engine, bool cancelsLeftovers, const calls &running,
            event_function onEvent)
-        : m_client(eventLoop.base(), engine.ip, engine.port, probeTimeout, probeTimeout, *this)
+        : m_client(eventLoop.base(), engine.ip, engine.port,
+                   { .firstByteTimeout = probeTimeout, .progressTimeout = probeTimeout }, *this)
         , m_running(&running)
         , m_onEvent(std::move(onEvent))
         , m_leftoversEnded(!cancelsLeftovers)
--- /dev/null
+++ b/src/daemon/front-node.cc
@@ -0,0 +1,382 @@
+#include "figcleat/daemon/front-node.h"
+
+#include "figcleat/core/log.h"
+#include "figcleat/core/overloaded.h"
+
+#include <algorithm>
+
+namespace figcleat
+{
+
+namespace
+{
+
+/** A lost update is made good after this time; a third of the time within which a drain has to be in force. */
+constexpr duration pollPeriod = std::chrono::milliseconds(400);
+/** Deadlines are kept to this precision; each wake-up costs processor time. */
+constexpr duration tickPeriod = std::chrono::milliseconds(25);
+/** A coordinator that has not answered for this long is taken for lost. */
+constexpr duration coordinatorSilence = std::chrono::seconds(2);
+/** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
+ */
+constexpr duration connectTimeout = std::chrono::milliseconds(250);
+/** The forwarder ends silent attempts; this is above the longest route timeout. */
+constexpr duration answerTimeout = std::chrono::minutes(10);
+/** After a planned stop, time in which the platform notices that this front is not ready: two questions a second apart
+ * and one second for the connections that were opened meanwhile. */
+constexpr duration unreadyPeriod = std::chrono::milliseconds(3200);
+/** Connections that no caller uses are closed this long before the end of the grace period. */
+constexpr duration idleCloseMargin = std::chrono::milliseconds(2500);
+/** A process that has not ended by itself by then is killed in mid-answer. */
+constexpr duration graceMargin = std::chrono::milliseconds(500);
+
+auto logger()
+{
+    return logFor(part::request);
+}
+
+forward::forwarder_settings forwarderSettings(const forward::node_settings &settings, std::uint64_t random)
+{
+    forward::forwarder_settings chosen;
+    chosen.pool.dataCentre = settings.dataCentre;
+    chosen.pool.seed = random;
+    chosen.repeatShare = settings.bounds.repeatShare;
+    chosen.repeatSlack = settings.bounds.repeatSlack;
+    chosen.repeatWindow = settings.bounds.repeatWindow;
+    chosen.seed = random;
+    return chosen;
+}
+
+std::int64_t wholeMs(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+front_node::readiness_handler::readiness_handler(front_node &owner)
+    : m_owner(&owner)
+{
+}
+
+void front_node::readiness_handler::onRequest(exchange_id exchange, http_request request)
+{
+    constexpr int okStatus = 200;
+    constexpr int unavailableStatus = 503;
+    constexpr int notFoundStatus = 404;
+    const bool isKnown = m_owner->m_dialect->isReadinessQuestion(request);
+    const int status = !isKnown ? notFoundStatus : (m_owner->isReady() ? okStatus : unavailableStatus);
+    m_owner->m_readiness->reply(exchange, status, {}, {});
+}
+
+void front_node::readiness_handler::onCallerGone(exchange_id /*exchange*/)
+{
+}
+
+void front_node::readiness_handler::onRejected(result_code code)
+{
+    logger()->warn("event=readiness_rejected code={}", describe(code).name);
+}
+
+expected<std::unique_ptr<front_node>> front_node::open(const forward::node_settings &settings,
+                                                       const forward::dialect &language, loop &eventLoop,
+                                                       const clock &time, std::uint64_t random)
+{
+    auto opened = std::unique_ptr<front_node>(new front_node(settings, language, eventLoop, time, random));
+    if (const auto started = opened->start(random); !started) {
+        return tl::unexpected<error>(started.error());
+    }
+    return opened;
+}
+
+front_node::front_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
+                       const clock &time, std::uint64_t random)
+    : m_settings(std::move(settings))
+    , m_dialect(&language)
+    , m_loop(&eventLoop)
+    , m_time(&time)
+    , m_incarnation { random | 1U }
+    , m_links(m_settings.seeds, {}, time.now())
+    , m_readinessHandler(*this)
+    , m_forwarder(forwarderSettings(m_settings, random))
+{
+    m_forwarder.pool().setDirectory(&m_directory);
+}
+
+expected<void> front_node::start(std::uint64_t /*random*/)
+{
+    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
+    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
+                                    [this](const envelope &received) { receive(received); });
+    if (!messages) {
+        return tl::unexpected<error>(messages.error());
+    }
+    m_messenger = std::move(*messages);
+    auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, {}, *this);
+    if (!callers) {
+        return tl::unexpected<error>(callers.error());
+    }
+    m_callers = std::move(*callers);
+    if (m_settings.readiness) {
+        auto readiness = http_server::open(m_loop->base(), m_settings.readiness->ip, m_settings.readiness->port, {},
+                                           m_readinessHandler);
+        if (!readiness) {
+            return tl::unexpected<error>(readiness.error());
+        }
+        m_readiness = std::move(*readiness);
+    }
+    m_loop->every(tickPeriod, [this] { tick(); });
+    m_loop->every(pollPeriod, [this] { poll(); });
+    poll();
+    return {};
+}
+
+void front_node::drain()
+{
+    if (m_drainStarted) {
+        return;
+    }
+    logger()->info("event=stop requests={}", m_forwarder.requestsInProgress());
+    m_drainStarted = m_time->now();
+    m_callers->closeAfterAnswers();
+}
+
+void front_node::reload(const forward::node_settings &settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_links.setSeeds(settings.seeds, m_time->now());
+    logger()->info("event=reload seeds={}", settings.seeds.size());
+}
+
+bool front_node::isReady() const
+{
+    return !m_drainStarted && m_forwarder.hasRoutes() && !m_directory.entries().empty();
+}
+
+void front_node::onRequest(exchange_id exchange, http_request request)
+{
+    step(forward::request_arrived { exchange, m_dialect->decodeRequest(std::move(request)) });
+}
+
+void front_node::onCallerGone(exchange_id exchange)
+{
+    step(forward::caller_left { exchange });
+}
+
+void front_node::onRejected(result_code code)
+{
+    logger()->warn("event=request_rejected code={}", describe(code).name);
+}
+
+void front_node::onAnswerStart(attempt_id attempt, int status, const http_headers &headers)
+{
+    const auto found = m_attempts.find(attempt.number);
+    if (found != m_attempts.end()) {
+        step(
+            forward::answer_started { attempt.number, m_dialect->decodeHead(*found->second.request, status, headers) });
+    }
+}
+
+void front_node::onBytes(attempt_id attempt, std::string_view bytes)
+{
+    step(forward::answer_bytes { attempt.number, bytes });
+}
+
+void front_node::onAnswerEnd(attempt_id attempt)
+{
+    m_attempts.erase(attempt.number);
+    step(forward::answer_ended { attempt.number });
+}
+
+void front_node::onFailure(attempt_id attempt, bool notSent)
+{
+    m_attempts.erase(attempt.number);
+    step(forward::attempt_broken { attempt.number, notSent });
+}
+
+void front_node::receive(const envelope &received)
+{
+    std::visit(overloaded {
+                   [&](const forward::node_update &update) { onUpdate(received, update); },
+                   [](const auto &) {},
+               },
+               received.message);
+}
+
+void front_node::onUpdate(const envelope &received, const forward::node_update &update)
+{
+    const time_point now = m_time->now();
+    m_links.onUpdate(received.from, received.incarnation, update, now);
+    for (const auto &one : update.changes) {
+        if (m_directory.merge(one, now)) {
+            logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{} from={}",
+                           one.target.value, one.service.value, one.address, static_cast<int>(one.state),
+                           one.coldLeftMs, one.order.startedMs, one.order.sequence, received.from.value);
+        }
+    }
+    for (const auto &one : update.configuration) {
+        apply(one);
+    }
+    if (const auto fronts = m_links.fronts(coordinatorSilence, now); fronts > 0) {
+        m_forwarder.setNodeCount(fronts);
+    }
+}
+
+void front_node::apply(const agreed::configuration_in_force &configuration)
+{
+    if (configuration.revision <= m_revision) {
+        return;
+    }
+    auto routes = m_dialect->decodeRoutes(configuration.content);
+    if (!routes) {
+        logger()->error("event=configuration_unreadable revision={} reason={}", configuration.revision.value,
+                        routes.error().detail);
+        return;
+    }
+    m_revision = configuration.revision;
+    m_version = configuration.number;
+    m_forwarder.setRoutes(std::make_shared<const forward::route_index>(std::move(*routes)));
+    m_forwarder.pool().setEvacuated({ configuration.dataCentresOut.begin(), configuration.dataCentresOut.end() });
+    logger()->info("event=configuration revision={} version={} data_centres_out={}", m_revision.value, m_version,
+                   configuration.dataCentresOut.size());
+}
+
+void front_node::poll()
+{
+    const time_point now = m_time->now();
+    m_links.forgetSilent(now);
+    for (const auto &[address, link] : m_links.links()) {
+        m_messenger->send(address,
+                          forward::node_poll { m_settings.vm, forward::node_role::front, link.incarnation,
+                                               link.directoryVersion, m_revision });
+    }
+    const bool hears = m_links.heardWithin(coordinatorSilence, now) > 0;
+    if (hears != m_heardCoordinator) {
+        m_heardCoordinator = hears;
+        logger()->warn("event=coordinators_{} version={}", hears ? "regained" : "lost", m_version);
+    }
+}
+
+void front_node::tick()
+{
+    m_messenger->tick();
+    step(forward::forward_tick {});
+    stopIfDone();
+}
+
+void front_node::stopIfDone()
+{
+    if (!m_drainStarted) {
+        return;
+    }
+    const duration since = m_time->now() - *m_drainStarted;
+    const duration grace = m_settings.bounds.grace;
+    if (since >= unreadyPeriod || since >= grace - idleCloseMargin) {
+        m_callers->stopListening();
+        m_callers->closeIdle();
+    }
+    const bool isDone = since >= unreadyPeriod && m_forwarder.requestsInProgress() == 0 && !m_callers->hasUnsentBytes();
+    if (isDone || since >= grace - graceMargin) {
+        m_loop->stop();
+    }
+}
+
+void front_node::step(const forward::forward_event &event)
+{
+    for (auto &action : m_forwarder.step(event, m_time->now())) {
+        std::visit([this](auto &what) { carryOut(what); }, action);
+    }
+}
+
+http_client *front_node::clientFor(const std::string &address)
+{
+    auto &client = m_clients[address];
+    if (!client) {
+        const auto parsed = parseSocketAddress(address);
+        if (!parsed) {
+            return nullptr;
+        }
+        const http_client_settings settings { .connectTimeout = connectTimeout,
+                                              .firstByteTimeout = answerTimeout,
+                                              .progressTimeout = answerTimeout,
+                                              .endOfConnectionIsEnd = true,
+                                              .keepHost = true };
+        client = std::make_unique<http_client>(m_loop->base(), parsed->ip, parsed->port, settings, *this);
+    }
+    return client.get();
+}
+
+void front_node::carryOut(forward::start_attempt &action)
+{
+    http_client *client = clientFor(action.call.address);
+    if (client == nullptr) {
+        logger()->error("event=address_unusable target={} address={}", action.call.target.value, action.call.address);
+        step(forward::attempt_broken { action.attempt, true });
+        return;
+    }
+    m_attempts[action.attempt] = { action.call.request, action.call.address };
+    client->start({ m_incarnation, action.attempt }, m_dialect->encodeCall(action.call));
+}
+
+void front_node::carryOut(const forward::cancel_attempt &action)
+{
+    const auto found = m_attempts.find(action.attempt);
+    if (found != m_attempts.end()) {
+        m_clients.at(found->second.address)->cancel({ m_incarnation, action.attempt });
+        m_attempts.erase(found);
+    }
+}
+
+void front_node::carryOut(const forward::refuse_request &action)
+{
+    const auto answer = m_dialect->encodeRefusal(action.why);
+    m_callers->reply(action.exchange, answer.status, answer.headers, answer.body);
+}
+
+void front_node::carryOut(forward::pass_answer &action)
+{
+    m_callers->reply(action.exchange, action.head.status, action.head.headers, action.body);
+}
+
+void front_node::carryOut(const forward::start_event_stream &action)
+{
+    m_callers->startStream(action.exchange, action.head.status, action.head.headers);
+}
+
+void front_node::carryOut(const forward::send_events &action)
+{
+    if (!m_callers->sendPiece(action.exchange, action.bytes)) {
+        logger()->warn("event=caller_too_slow exchange={}", action.exchange.value);
+        m_callers->breakStream(action.exchange);
+        step(forward::caller_left { action.exchange });
+    }
+}
+
+void front_node::carryOut(const forward::end_event_stream &action)
+{
+    m_callers->endStream(action.exchange);
+}
+
+void front_node::carryOut(const forward::break_answer &action)
+{
+    m_callers->breakStream(action.exchange);
+}
+
+void front_node::carryOut(const forward::forward_ended &action)
+{
+    const auto level = action.code == result_code::ok ? spdlog::level::debug : spdlog::level::info;
+    logger()->log(level,
+                  "event=request id={} route={} workspace={} service={} target={} code={} status={} attempts={} "
+                  "queued_ms={} first_ms={} whole_ms={} version={}",
+                  action.id.value, action.route.value, action.workspace.value, action.service.value,
+                  action.target.value, describe(action.code).name, action.status, action.attempts,
+                  wholeMs(action.queued), wholeMs(action.firstByte), wholeMs(action.whole), action.configuration);
+}
+
+void front_node::carryOut(const forward::attempt_note &action)
+{
+    logger()->info("event=attempt id={} target={} outcome={} next={}", action.id.value, action.target.value,
+                   action.outcome, action.next);
+}
+
+} // namespace figcleat
--- /dev/null
+++ b/src/daemon/node-links.cc
@@ -0,0 +1,96 @@
+#include "figcleat/daemon/node-links.h"
+
+#include <algorithm>
+
+namespace figcleat
+{
+
+coordinator_links::coordinator_links(const std::vector<peer_address> &seeds, peer_address self, time_point now)
+    : m_self(std::move(self))
+{
+    setSeeds(seeds, now);
+}
+
+void coordinator_links::add(const peer_address &address, bool isSeed, time_point now)
+{
+    if (address == m_self || address.empty() || m_links.size() >= maxCoordinators) {
+        return;
+    }
+    auto &one = m_links.try_emplace(address, link { .heard = now }).first->second;
+    one.isSeed = one.isSeed || isSeed;
+}
+
+void coordinator_links::setSeeds(const std::vector<peer_address> &seeds, time_point now)
+{
+    for (auto &[address, one] : m_links) {
+        one.isSeed = false;
+    }
+    for (const auto &address : seeds) {
+        add(address, true, now);
+    }
+}
+
+void coordinator_links::onUpdate(const peer_address &from, incarnation_id incarnation,
+                                 const forward::node_update &update, time_point now)
+{
+    add(from, false, now);
+    const auto found = m_links.find(from);
+    if (found == m_links.end()) {
+        return;
+    }
+    auto &one = found->second;
+    if (one.incarnation != incarnation) {
+        one.incarnation = incarnation;
+        one.directoryVersion = 0;
+    }
+    one.heard = now;
+    one.fronts = update.fronts;
+    one.leader = update.leader;
+    // An update before this one may have been lost; then the next poll asks for its changes again.
+    if (update.since <= one.directoryVersion) {
+        one.directoryVersion = std::max(one.directoryVersion, update.directoryVersion);
+    }
+    for (const auto &address : update.coordinators) {
+        add(address, false, now);
+    }
+}
+
+void coordinator_links::forgetSilent(time_point now)
+{
+    std::erase_if(m_links,
+                  [now](const auto &entry) { return !entry.second.isSeed && now - entry.second.heard >= forgetAfter; });
+}
+
+const std::map<peer_address, coordinator_links::link> &coordinator_links::links() const
+{
+    return m_links;
+}
+
+std::vector<peer_address> coordinator_links::addresses() const
+{
+    std::vector<peer_address> all;
+    for (const auto &entry : m_links) {
+        all.push_back(entry.first);
+    }
+    return all;
+}
+
+std::size_t coordinator_links::heardWithin(duration window, time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_links.begin(), m_links.end(), [&](const auto &entry) {
+        return entry.second.incarnation != incarnation_id {} && now - entry.second.heard <= window;
+    }));
+}
+
+std::uint32_t coordinator_links::fronts(duration window, time_point now) const
+{
+    std::uint32_t most = 0;
+    for (const auto &[address, one] : m_links) {
+        if (now - one.heard <= window) {
+            most = std::max(most, one.fronts);
+        }
+    }
+    return most;
+}
+
+} // namespace figcleat
--- /dev/null
+++ b/src/forward/event-splitter.cc
@@ -0,0 +1,77 @@
+#include "figcleat/forward/event-splitter.h"
+
+namespace figcleat::forward
+{
+
+namespace
+{
+
+constexpr std::string_view idField = "id:";
+
+/** End of the last whole event in `bytes`; 0 if there is none. An event ends with an empty line. */
+std::size_t endOfEvents(std::string_view bytes)
+{
+    std::size_t end = 0;
+    std::size_t lineStart = 0;
+    for (auto lineEnd = bytes.find('\n'); lineEnd != std::string_view::npos; lineEnd = bytes.find('\n', lineStart)) {
+        const bool isEmpty = lineEnd == lineStart || (lineEnd == lineStart + 1 && bytes[lineStart] == '\r');
+        lineStart = lineEnd + 1;
+        if (isEmpty) {
+            end = lineStart;
+        }
+    }
+    return end;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == '\r' || text.back() == ' ')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+} // namespace
+
+std::string event_splitter::push(std::string_view bytes)
+{
+    m_waiting += bytes;
+    const std::size_t end = endOfEvents(m_waiting);
+    std::string whole = m_waiting.substr(0, end);
+    m_waiting.erase(0, end);
+    std::string_view rest = whole;
+    while (!rest.empty()) {
+        const auto lineEnd = rest.find('\n');
+        const auto line = rest.substr(0, lineEnd);
+        if (line.starts_with(idField)) {
+            m_lastId = trimmed(line.substr(idField.size()));
+        }
+        rest.remove_prefix(lineEnd == std::string_view::npos ? rest.size() : lineEnd + 1);
+    }
+    return whole;
+}
+
+void event_splitter::dropPartial()
+{
+    m_waiting.clear();
+}
+
+bool event_splitter::hasPartial() const
+{
+    return !m_waiting.empty();
+}
+
+bool event_splitter::isTooLong() const
+{
+    return m_waiting.size() > maxEventBytes;
+}
+
+const std::string &event_splitter::lastId() const
+{
+    return m_lastId;
+}
+
+} // namespace figcleat::forward
--- /dev/null
+++ b/src/forward/forwarder.cc
@@ -0,0 +1,514 @@
+#include "figcleat/forward/forwarder.h"
+
+#include "figcleat/core/invariant.h"
+
+#include <algorithm>
+
+namespace figcleat::forward
+{
+
+namespace
+{
+
+/** Nodes assumed until a coordinator has counted them. */
+constexpr std::uint32_t assumedNodes = 16;
+/** Part of the repeats over all nodes that the nodes use together; the rest covers counts that are out of date. */
+constexpr double budgetUse = 0.7;
+/** A request waits for room for this part of its objective; a later answer would hardly be in time. */
+constexpr int waitParts = 8;
+/** Attempts that no target ran, for example because it was full; the route's `attempts` bounds the others. */
+constexpr std::uint32_t maxSends = 4;
+/** Silence in a stream or before an answer after which an idempotent request goes elsewhere, in objectives. */
+constexpr int silenceObjectives = 2;
+constexpr milliseconds silenceMin { 700 };
+/** A target counts as active if it sent something within this time. */
+constexpr duration activeWindow = std::chrono::milliseconds(300);
+/** Wait for room at another target after a failed attempt; callers leave a stream after a pause of two seconds. */
+constexpr milliseconds retryWait { 100 };
+constexpr milliseconds resumeWait { 500 };
+/** With less time left a further attempt is of no use. */
+constexpr milliseconds minTimeLeft { 30 };
+/** Shortest and longest time after which a refused caller may come back. */
+constexpr milliseconds returnMin { 200 };
+constexpr milliseconds returnMax { 1000 };
+constexpr int firstErrorStatus = 500;
+
+} // namespace
+
+forwarder::forwarder(forwarder_settings settings)
+    : m_settings(std::move(settings))
+    , m_pool(m_settings.pool)
+    , m_nodes(assumedNodes)
+    , m_random(m_settings.seed)
+{
+}
+
+void forwarder::setRoutes(std::shared_ptr<const route_index> routes)
+{
+    m_routes = std::move(routes);
+    m_pool.setRoutes(m_routes);
+}
+
+void forwarder::setNodeCount(std::uint32_t nodes)
+{
+    if (nodes != m_nodes) {
+        m_nodes = std::max<std::uint32_t>(1, nodes);
+        m_pool.setNodeCount(m_nodes);
+        m_budgets.clear();
+    }
+}
+
+void forwarder::stop()
+{
+    m_stopping = true;
+}
+
+target_pool &forwarder::pool()
+{
+    return m_pool;
+}
+
+std::size_t forwarder::requestsInProgress() const
+{
+    return m_requests.size();
+}
+
+bool forwarder::hasRoutes() const
+{
+    return m_routes != nullptr;
+}
+
+std::vector<forward_action> forwarder::step(const forward_event &event, time_point now)
+{
+    m_now = now;
+    std::visit([this](const auto &what) { handle(what); }, event);
+    return std::exchange(m_actions, {});
+}
+
+void forwarder::handle(const request_arrived &event)
+{
+    auto &state = m_requests[event.exchange];
+    state.request = std::make_shared<const caller_request>(event.request);
+    state.arrived = m_now;
+    if (const auto refused = admit(state, event.request); refused) {
+        refuse(event.exchange, state, *refused);
+        return;
+    }
+    state.service = pickService(*state.where);
+    auto &budget = m_budgets
+                       .try_emplace(state.service,
+                                    request::retry_budget_settings {
+                                        budgetUse * m_settings.repeatShare,
+                                        static_cast<std::uint64_t>(budgetUse * m_settings.repeatSlack / m_nodes),
+                                        m_settings.repeatWindow })
+                       .first->second;
+    budget.firstAttempt(m_now);
+    place(event.exchange, state);
+}
+
+std::optional<refusal> forwarder::admit(request_state &state, const caller_request &request)
+{
+    if (!m_routes) {
+        return refusal { result_code::not_configured, false, returnMax };
+    }
+    if (m_requests.size() > maxRequests) {
+        return refusal { result_code::queue_full, false, returnMax };
+    }
+    state.routes = m_routes;
+    state.where = m_routes->match(request.host, request.path);
+    if (state.where == nullptr) {
+        return refusal { result_code::not_found };
+    }
+    const workspace_keys *holder = request.key ? m_routes->workspaceOf(*request.key) : nullptr;
+    if (holder == nullptr && m_routes->hasWorkspaces() && !state.where->isPublic) {
+        return refusal { result_code::wrong_credential };
+    }
+    state.priority = state.where->priority;
+    if (holder != nullptr) {
+        state.workspace = holder->name;
+        state.priority = holder->priority.value_or(state.priority);
+    }
+    const milliseconds patience = std::min(state.where->timeout, request.deadline.value_or(state.where->timeout));
+    state.deadline = m_now + patience;
+    state.waitUntil = m_now + std::min(patience, state.where->objective) / waitParts;
+    return std::nullopt;
+}
+
+service_id forwarder::pickService(const route &where)
+{
+    std::uint64_t total = 0;
+    for (const auto &part : where.split) {
+        total += part.weight;
+    }
+    auto drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(m_random);
+    for (const auto &part : where.split) {
+        if (drawn < part.weight) {
+            return part.service;
+        }
+        drawn -= part.weight;
+    }
+    return where.split.back().service;
+}
+
+void forwarder::place(exchange_id exchange, request_state &state)
+{
+    if (state.deadline - m_now < minTimeLeft) {
+        giveUp(exchange, state, result_code::deadline_too_near);
+        return;
+    }
+    auto target = m_pool.choose(state.service, state.tried, m_now);
+    if (!target && target.error().code == result_code::no_target && !state.tried.empty() && isIdempotent(state)) {
+        // All others are unusable; the one that failed is better than none.
+        target = m_pool.choose(state.service, { state.lastTarget }, m_now);
+    }
+    if (target) {
+        startAttempt(exchange, state, *target);
+        return;
+    }
+    if (m_now >= state.waitUntil) {
+        giveUp(exchange, state, target.error().code);
+        return;
+    }
+    m_waiting.push_back(exchange);
+}
+
+void forwarder::startAttempt(exchange_id exchange, request_state &state, const directory_entry &target)
+{
+    m_lastAttempt = m_lastAttempt.next();
+    state.current = m_lastAttempt;
+    state.lastTarget = target.what.target;
+    state.tried.insert(target.what.target);
+    state.sends += 1;
+    state.firstSent = state.firstSent.value_or(m_now);
+    attempt_state attempt;
+    attempt.exchange = exchange;
+    attempt.target = target.what.target;
+    attempt.startedAt = m_now;
+    attempt.lastProgress = m_now;
+    m_attempts.emplace(m_lastAttempt, std::move(attempt));
+    m_pool.onStarted(target.what.target, m_now);
+    outgoing_call call;
+    call.request = state.request;
+    call.target = target.what.target;
+    call.address = target.what.address;
+    call.workspace = state.workspace;
+    call.timeLeft = std::chrono::duration_cast<milliseconds>(state.deadline - m_now);
+    call.lastEventId = state.events.lastId().empty() ? state.request->lastEventId : state.events.lastId();
+    call.priority = state.priority;
+    m_actions.emplace_back(start_attempt { m_lastAttempt, std::move(call) });
+}
+
+void forwarder::placeWaiting()
+{
+    const std::size_t count = m_waiting.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const exchange_id exchange = m_waiting.front();
+        m_waiting.pop_front();
+        const auto found = m_requests.find(exchange);
+        if (found != m_requests.end() && found->second.current == attempt_number {}) {
+            place(exchange, found->second);
+        }
+    }
+}
+
+bool forwarder::isIdempotent(const request_state &state) const
+{
+    return state.where->kind == route_kind::safe || (state.where->kind == route_kind::stream && state.where->resumable);
+}
+
+bool forwarder::mayRunAgain(const request_state &state) const
+{
+    return isIdempotent(state) && state.runs < state.where->attempts;
+}
+
+bool forwarder::takeRepeat(const service_id &service)
+{
+    const auto budget = m_budgets.find(service);
+    return budget != m_budgets.end() && budget->second.takeRetry(m_now);
+}
+
+void forwarder::endAttempt(request_state &state, attempt_result result)
+{
+    const auto found = m_attempts.find(std::exchange(state.current, {}));
+    if (found != m_attempts.end()) {
+        m_pool.onEnded(found->second.target, result, m_now);
+        m_attempts.erase(found);
+    }
+}
+
+void forwarder::retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code)
+{
+    state.lastFailure = code;
+    const bool isAllowed = !mayHaveRun || mayRunAgain(state);
+    const bool hasTime = state.deadline - m_now >= minTimeLeft;
+    const std::string failure(describe(code).name);
+    if (isAllowed && hasTime && state.sends < maxSends && !m_stopping && takeRepeat(state.service)) {
+        note(state, failure, "retry");
+        state.waitUntil = std::max(state.waitUntil, m_now + (state.streaming ? resumeWait : retryWait));
+        place(exchange, state);
+        return;
+    }
+    note(state, failure, "end");
+    giveUp(exchange, state, code);
+}
+
+void forwarder::handle(const caller_left &event)
+{
+    const auto found = m_requests.find(event.exchange);
+    if (found == m_requests.end()) {
+        return;
+    }
+    auto &state = found->second;
+    if (state.current != attempt_number {}) {
+        m_actions.emplace_back(cancel_attempt { state.current });
+        endAttempt(state, attempt_result::abandoned);
+    }
+    finish(event.exchange, state, result_code::caller_gone, 0);
+    placeWaiting();
+}
+
+void forwarder::handle(const answer_started &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    auto &attempt = found->second;
+    attempt.lastProgress = m_now;
+    attempt.head = event.head;
+    const exchange_id exchange = attempt.exchange;
+    auto &state = m_requests.at(exchange);
+    if (event.head.load) {
+        m_pool.onLoad(attempt.target, *event.head.load, m_now);
+    }
+    if (event.head.isSpoiled) {
+        m_actions.emplace_back(cancel_attempt { event.attempt });
+        state.runs += 1;
+        endAttempt(state, attempt_result::failed);
+        retryOrFail(exchange, state, true, result_code::engine_failed);
+        return;
+    }
+    if (event.head.notRun) {
+        m_actions.emplace_back(cancel_attempt { event.attempt });
+        endAttempt(state, attempt_result::shed);
+        retryOrFail(exchange, state, false,
+                    event.head.isOtherTarget ? result_code::target_lost : result_code::target_at_limit);
+        return;
+    }
+    m_pool.onProgress(attempt.target, m_now);
+    const bool isStream
+        = state.where->kind == route_kind::stream && event.head.isEventStream && event.head.status < firstErrorStatus;
+    if (isStream && !state.streaming) {
+        state.streaming = true;
+        m_actions.emplace_back(start_event_stream { exchange, event.head });
+    }
+}
+
+void forwarder::handle(const answer_bytes &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    auto &attempt = found->second;
+    attempt.lastProgress = m_now;
+    m_pool.onProgress(attempt.target, m_now);
+    const exchange_id exchange = attempt.exchange;
+    auto &state = m_requests.at(exchange);
+    if (state.streaming && attempt.head->isEventStream) {
+        passEvents(exchange, state, attempt, event.bytes);
+        return;
+    }
+    attempt.body += event.bytes;
+    if (attempt.body.size() > maxAnswerBytes) {
+        m_actions.emplace_back(cancel_attempt { event.attempt });
+        state.runs += 1;
+        endAttempt(state, attempt_result::failed);
+        retryOrFail(exchange, state, true, result_code::buffer_full);
+    }
+}
+
+void forwarder::passEvents(exchange_id exchange, request_state &state, const attempt_state & /*attempt*/,
+                           std::string_view bytes)
+{
+    std::string whole = state.events.push(bytes);
+    if (!whole.empty()) {
+        state.firstByte = state.firstByte.value_or(m_now);
+        m_actions.emplace_back(send_events { exchange, std::move(whole) });
+    }
+    if (state.events.isTooLong()) {
+        m_actions.emplace_back(cancel_attempt { state.current });
+        state.runs += 1;
+        endAttempt(state, attempt_result::failed);
+        giveUp(exchange, state, result_code::buffer_full);
+    }
+}
+
+void forwarder::handle(const answer_ended &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    auto attempt = std::move(found->second);
+    const exchange_id exchange = attempt.exchange;
+    auto &state = m_requests.at(exchange);
+    state.runs += 1;
+    finishAnswer(exchange, state, attempt);
+    placeWaiting();
+}
+
+void forwarder::finishAnswer(exchange_id exchange, request_state &state, attempt_state &attempt)
+{
+    if (state.streaming) {
+        const bool isWhole = attempt.head->isEventStream && !state.events.hasPartial();
+        endAttempt(state, isWhole ? attempt_result::answered : attempt_result::failed);
+        state.events.dropPartial();
+        if (!isWhole) {
+            retryOrFail(exchange, state, true, result_code::stream_broken);
+            return;
+        }
+        m_actions.emplace_back(end_event_stream { exchange });
+        finish(exchange, state, result_code::ok, attempt.head->status);
+        return;
+    }
+    const bool isFailure = attempt.head->status >= firstErrorStatus;
+    endAttempt(state, isFailure ? attempt_result::failed : attempt_result::answered);
+    if (isFailure) {
+        state.fallback = pass_answer { exchange, *attempt.head, std::move(attempt.body) };
+        retryOrFail(exchange, state, true, result_code::engine_failed);
+        return;
+    }
+    state.firstByte = state.firstByte.value_or(m_now);
+    m_actions.emplace_back(pass_answer { exchange, *attempt.head, std::move(attempt.body) });
+    finish(exchange, state, result_code::ok, attempt.head->status);
+}
+
+void forwarder::handle(const attempt_broken &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const exchange_id exchange = found->second.exchange;
+    auto &state = m_requests.at(exchange);
+    state.events.dropPartial();
+    state.runs += event.notSent ? 0 : 1;
+    endAttempt(state, event.notSent ? attempt_result::unreachable : attempt_result::failed);
+    retryOrFail(exchange, state, !event.notSent, result_code::target_lost);
+    placeWaiting();
+}
+
+void forwarder::handle(const forward_tick & /*event*/)
+{
+    placeWaiting();
+    std::vector<exchange_id> open;
+    open.reserve(m_requests.size());
+    for (const auto &entry : m_requests) {
+        open.push_back(entry.first);
+    }
+    for (const exchange_id exchange : open) {
+        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
+            checkDeadline(exchange, found->second);
+        }
+        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
+            checkSilence(exchange, found->second);
+        }
+    }
+    m_pool.forgetUnknown();
+}
+
+void forwarder::checkDeadline(exchange_id exchange, request_state &state)
+{
+    if (m_now < state.deadline) {
+        return;
+    }
+    if (state.current != attempt_number {}) {
+        m_actions.emplace_back(cancel_attempt { state.current });
+        state.runs += 1;
+        endAttempt(state, attempt_result::abandoned);
+    }
+    giveUp(exchange, state, result_code::deadline_exceeded);
+}
+
+/** A silent target among active ones is left; where all are silent, another one would not answer sooner. */
+void forwarder::checkSilence(exchange_id exchange, request_state &state)
+{
+    const auto found = m_attempts.find(state.current);
+    if (found == m_attempts.end() || !isIdempotent(state) || state.runs + 1 >= state.where->attempts) {
+        return;
+    }
+    const milliseconds limit = std::max(silenceMin, state.where->objective * silenceObjectives);
+    if (m_now - found->second.lastProgress < limit || m_pool.countActive(state.service, activeWindow, m_now) < 2) {
+        return;
+    }
+    if (!takeRepeat(state.service)) {
+        return;
+    }
+    note(state, "silent", "retry");
+    m_actions.emplace_back(cancel_attempt { state.current });
+    state.events.dropPartial();
+    state.runs += 1;
+    endAttempt(state, attempt_result::failed);
+    place(exchange, state);
+}
+
+void forwarder::giveUp(exchange_id exchange, request_state &state, result_code code)
+{
+    if (state.streaming) {
+        m_actions.emplace_back(break_answer { exchange });
+        finish(exchange, state, code, 0);
+        return;
+    }
+    if (state.fallback) {
+        m_actions.emplace_back(*state.fallback);
+        finish(exchange, state, code, state.fallback->head.status);
+        return;
+    }
+    refusal why { code, state.runs > 0, std::nullopt };
+    if (!why.mayHaveRun) {
+        why.retryAfter = returnTime(state);
+    }
+    refuse(exchange, state, why);
+}
+
+/** Spreads the return of callers, within the third of their time that they honour. */
+milliseconds forwarder::returnTime(const request_state &state)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(state.deadline - m_now);
+    const auto most = std::clamp(left / 3, milliseconds(0), returnMax);
+    const auto least = std::min(returnMin, most);
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random));
+}
+
+void forwarder::refuse(exchange_id exchange, const request_state &state, const refusal &why)
+{
+    m_actions.emplace_back(refuse_request { exchange, why });
+    finish(exchange, state, why.code, 0);
+}
+
+void forwarder::finish(exchange_id exchange, const request_state &state, result_code code, int status)
+{
+    forward_ended ended;
+    ended.id = state.request->id;
+    ended.route = state.where == nullptr ? route_id {} : state.where->name;
+    ended.workspace = state.workspace;
+    ended.service = state.service;
+    ended.target = state.lastTarget;
+    ended.code = code;
+    ended.status = status;
+    ended.attempts = state.sends;
+    ended.queued = state.firstSent.value_or(m_now) - state.arrived;
+    ended.firstByte = state.firstByte.value_or(m_now) - state.arrived;
+    ended.whole = m_now - state.arrived;
+    ended.configuration = state.routes ? state.routes->version() : 0;
+    m_actions.emplace_back(std::move(ended));
+    m_requests.erase(exchange);
+}
+
+void forwarder::note(const request_state &state, std::string outcome, std::string next)
+{
+    m_actions.emplace_back(attempt_note { state.request->id, state.lastTarget, std::move(outcome), std::move(next) });
+}
+
+} // namespace figcleat::forward
--- /dev/null
+++ b/src/forward/target-pool.cc
@@ -0,0 +1,238 @@
+#include "figcleat/forward/target-pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figcleat::forward
+{
+
+namespace
+{
+
+/** Nodes assumed until a coordinator has counted them; more than a small fleet has, so that limits are not exceeded. */
+constexpr std::uint32_t assumedNodes = 16;
+/** A report of the load of other nodes counts half after this time; about the length of a short answer. */
+constexpr double loadHalfLifeSeconds = 0.7;
+/** Weight of the newest attempt in the smoothed share of failures. */
+constexpr double failureWeight = 0.2;
+/** Failures in a row after which a target is left alone for a while. */
+constexpr std::uint32_t failuresToBlock = 3;
+constexpr duration blockBase = std::chrono::milliseconds(500);
+constexpr duration unreachableBase = std::chrono::milliseconds(300);
+constexpr duration blockMax = std::chrono::seconds(5);
+constexpr std::uint32_t maxDoublings = 4;
+/** Load, in requests, that a target in another data centre must have less to be preferred. */
+constexpr double remotePenalty = 0.5;
+/** A target that fails every request counts as full. */
+constexpr double failurePenaltySlots = 1.0;
+
+double secondsBetween(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+target_pool::target_pool(pool_settings settings)
+    : m_settings(std::move(settings))
+    , m_nodes(assumedNodes)
+    , m_random(m_settings.seed)
+{
+}
+
+void target_pool::setDirectory(const target_directory *directory)
+{
+    m_directory = directory;
+}
+
+void target_pool::setRoutes(std::shared_ptr<const route_index> routes)
+{
+    m_routes = std::move(routes);
+}
+
+void target_pool::setEvacuated(std::set<data_centre_id> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+}
+
+void target_pool::setNodeCount(std::uint32_t nodes)
+{
+    m_nodes = std::max<std::uint32_t>(1, nodes);
+}
+
+bool target_pool::isOpen(const directory_entry &entry) const
+{
+    return entry.what.state == registration_state::ready && !m_evacuated.contains(entry.what.dataCentre);
+}
+
+double target_pool::load(const target_record &record, time_point now) const
+{
+    const double age = std::max(0.0, secondsBetween(record.othersAt, now));
+    const double others = record.others * std::exp2(-age / loadHalfLifeSeconds);
+    return record.inFlight + others;
+}
+
+bool target_pool::hasRoom(const directory_entry &entry, target_record &record, time_point now) const
+{
+    // Half open after a block: one request at a time until one is answered.
+    if (record.failuresInRow >= failuresToBlock && record.inFlight > 0) {
+        return false;
+    }
+    const auto *limits = m_routes ? m_routes->limitsOf(entry.what.service) : nullptr;
+    if (limits != nullptr && limits->maxConnections > 0) {
+        const auto share = static_cast<std::uint32_t>(m_settings.limitShare * limits->maxConnections / m_nodes);
+        if (record.inFlight >= std::max<std::uint32_t>(1, share)) {
+            return false;
+        }
+    }
+    return load(record, now) < entry.what.slots + m_settings.waitingPerTarget;
+}
+
+double target_pool::score(const directory_entry &entry, const target_record &record, time_point now) const
+{
+    const double slots = std::max<std::uint32_t>(1, entry.what.slots);
+    const double remote = entry.what.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
+    return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots;
+}
+
+bool target_pool::hasColdToken(const directory_entry &entry, target_record &record, time_point now) const
+{
+    const auto *limits = m_routes ? m_routes->limitsOf(entry.what.service) : nullptr;
+    if (entry.coldUntil <= now || limits == nullptr || limits->coldPerSecond <= 0) {
+        return true;
+    }
+    const double rate = m_settings.limitShare * limits->coldPerSecond / m_nodes;
+    record.coldTokens = std::min(1.0, record.coldTokens + rate * std::max(0.0, secondsBetween(record.coldAt, now)));
+    record.coldAt = now;
+    return record.coldTokens >= 1.0;
+}
+
+expected<directory_entry> target_pool::choose(const service_id &service, const std::set<target_id> &excluded,
+                                              time_point now)
+{
+    const directory_entry *best = nullptr;
+    double bestScore = 0;
+    std::uint32_t ties = 0;
+    bool anyUsable = false;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.what.service != service || !isOpen(entry) || excluded.contains(id)) {
+            continue;
+        }
+        auto &record = m_records[id];
+        if (record.blockedUntil > now) {
+            continue;
+        }
+        anyUsable = true;
+        if (!hasRoom(entry, record, now) || !hasColdToken(entry, record, now)) {
+            continue;
+        }
+        const double candidate = score(entry, record, now);
+        const bool isTie = best != nullptr && candidate == bestScore;
+        ties = isTie ? ties + 1 : 1;
+        const bool winsTie = isTie && std::uniform_int_distribution<std::uint32_t>(1, ties)(m_random) == 1;
+        if (best == nullptr || candidate < bestScore || winsTie) {
+            best = &entry;
+            bestScore = candidate;
+        }
+    }
+    if (best == nullptr) {
+        return fail(anyUsable ? result_code::target_at_limit : result_code::no_target, service.value);
+    }
+    return *best;
+}
+
+void target_pool::onStarted(const target_id &target, time_point now)
+{
+    auto &record = m_records[target];
+    record.inFlight += 1;
+    record.coldTokens = std::max(0.0, record.coldTokens - 1.0);
+}
+
+void target_pool::onEnded(const target_id &target, attempt_result result, time_point now)
+{
+    auto &record = m_records[target];
+    record.inFlight -= std::min<std::uint32_t>(1, record.inFlight);
+    switch (result) {
+    case attempt_result::answered:
+        record.failuresInRow = 0;
+        record.failureShare *= 1 - failureWeight;
+        record.lastProgress = now;
+        break;
+    case attempt_result::unreachable:
+        record.failuresInRow = std::max(record.failuresInRow + 1, failuresToBlock);
+        block(record, unreachableBase, now);
+        break;
+    case attempt_result::shed:
+    case attempt_result::failed:
+        record.failuresInRow += 1;
+        record.failureShare += (1 - record.failureShare) * failureWeight;
+        if (record.failuresInRow >= failuresToBlock) {
+            block(record, blockBase, now);
+        }
+        break;
+    case attempt_result::abandoned:
+        break;
+    }
+}
+
+void target_pool::block(target_record &record, duration base, time_point now) const
+{
+    const std::uint32_t doublings = std::min(record.failuresInRow - failuresToBlock, maxDoublings);
+    record.blockedUntil = std::max(record.blockedUntil, now + std::min(blockMax, base * (1U << doublings)));
+}
+
+void target_pool::onProgress(const target_id &target, time_point now)
+{
+    m_records[target].lastProgress = now;
+}
+
+void target_pool::onLoad(const target_id &target, const target_load &load, time_point now)
+{
+    auto &record = m_records[target];
+    const std::uint32_t all = load.running + load.waiting;
+    record.others = all - std::min(all, record.inFlight);
+    record.othersAt = now;
+}
+
+void target_pool::onBlamed(const target_id &target, time_point now)
+{
+    auto &record = m_records[target];
+    record.failuresInRow = std::max(record.failuresInRow + 1, failuresToBlock);
+    block(record, blockBase, now);
+}
+
+std::size_t target_pool::countActive(const service_id &service, duration window, time_point now) const
+{
+    std::size_t active = 0;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        const auto record = m_records.find(id);
+        const bool isActive = entry.what.service == service && record != m_records.end()
+            && record->second.lastProgress != time_point {} && now - record->second.lastProgress <= window;
+        active += isActive ? 1 : 0;
+    }
+    return active;
+}
+
+target_load target_pool::totalLoad(const service_id &service, time_point now) const
+{
+    target_load total;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.what.service != service || !isOpen(entry)) {
+            continue;
+        }
+        total.slots += entry.what.slots;
+        if (const auto record = m_records.find(id); record != m_records.end()) {
+            total.running += static_cast<std::uint32_t>(std::lround(load(record->second, now)));
+        }
+    }
+    return total;
+}
+
+void target_pool::forgetUnknown()
+{
+    std::erase_if(m_records, [this](const auto &entry) {
+        return entry.second.inFlight == 0 && m_directory->find(entry.first) == nullptr;
+    });
+}
+
+} // namespace figcleat::forward
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -72,6 +72,8 @@
         bool started = false;
         bool endMarked = false;
         bool sentBytes = false;
+        /** The timer runs for the answer, not for the connection. */
+        bool timesAnswer = false;
 
         ~call()
         {
@@ -83,8 +85,7 @@
     event_base *loop = nullptr;
     std::string ip;
     std::uint16_t port = 0;
-    duration firstByteTimeout {};
-    duration progressTimeout {};
+    http_client_settings settings;
     http_client_handler *handler = nullptr;
     std::unordered_map<attempt_id, std::unique_ptr<call>> calls;
     /** Ended calls; freed by an event of their own, since libevent may still be using the connection. */
@@ -101,6 +102,7 @@
     void retire(attempt_id attempt);
     void restartTimer(call &running) const;
     void fail(call &running);
+    void onTimeout(call &running);
     void begin(call &running, const service_call &what, evhttp_cmd_type command);
 
     static int onHeaders(evhttp_request *request, void *context);
@@ -122,7 +124,9 @@
 
 void http_client::state::restartTimer(call &running) const
 {
-    const duration limit = running.started ? progressTimeout : firstByteTimeout;
+    const bool isConnecting = !running.sentBytes && settings.connectTimeout > duration {};
+    const duration answerLimit = running.started ? settings.progressTimeout : settings.firstByteTimeout;
+    const duration limit = isConnecting ? settings.connectTimeout : answerLimit;
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(limit).count();
     const timeval timeout { micros / 1'000'000, static_cast<suseconds_t>(micros % 1'000'000) };
     evtimer_add(running.progressTimer, &timeout);
@@ -136,13 +140,25 @@
     handler->onFailure(attempt, notSent);
 }
 
+void http_client::state::onTimeout(call &running)
+{
+    // The timer of the connection ran while the call was sent; from then on the answer has its own limit.
+    if (settings.connectTimeout > duration {} && running.sentBytes && !running.timesAnswer) {
+        running.timesAnswer = true;
+        restartTimer(running);
+        return;
+    }
+    fail(running);
+}
+
 int http_client::state::onHeaders(evhttp_request *request, void *context)
 {
     auto &running = *static_cast<call *>(context);
     const int status = evhttp_request_get_response_code(request);
     http_headers headers = headersOf(request);
     running.started = true;
-    running.endMarked = endIsMarked(status, headers, running.isHead);
+    running.timesAnswer = true;
+    running.endMarked = running.client->settings.endOfConnectionIsEnd || endIsMarked(status, headers, running.isHead);
     running.client->restartTimer(running);
     std::erase_if(headers, [](const auto &header) { return isConnectionHeader(header.first); });
     running.client->handler->onAnswerStart(running.attempt, status, headers);
@@ -180,15 +196,14 @@
     client.handler->onAnswerEnd(attempt);
 }
 
-http_client::http_client(event_base *loop, std::string ip, std::uint16_t port, duration firstByteTimeout,
-                         duration progressTimeout, http_client_handler &handler)
+http_client::http_client(event_base *loop, std::string ip, std::uint16_t port, http_client_settings settings,
+                         http_client_handler &handler)
     : m_state(std::make_unique<state>())
 {
     m_state->loop = loop;
     m_state->ip = std::move(ip);
     m_state->port = port;
-    m_state->firstByteTimeout = firstByteTimeout;
-    m_state->progressTimeout = progressTimeout;
+    m_state->settings = settings;
     m_state->handler = &handler;
     m_state->reaper = event_new(
         loop, -1, 0, [](evutil_socket_t, short, void *context) { static_cast<state *>(context)->ended.clear(); },
@@ -204,8 +219,7 @@
     running.progressTimer = evtimer_new(
         loop,
         [](evutil_socket_t, short, void *context) {
-            auto &late = *static_cast<call *>(context);
-            late.client->fail(late);
+            static_cast<call *>(context)->client->onTimeout(*static_cast<call *>(context));
         },
         &running);
     running.isHead = command == EVHTTP_REQ_HEAD;
@@ -224,7 +238,9 @@
             evhttp_add_header(headers, name.c_str(), value.c_str());
         }
     }
-    evhttp_add_header(headers, "Host", (ip + ":" + std::to_string(port)).c_str());
+    const std::string_view host = settings.keepHost ? findHeader(what.headers, "Host") : std::string_view();
+    const std::string address = ip + ":" + std::to_string(port);
+    evhttp_add_header(headers, "Host", host.empty() ? address.c_str() : host.data());
     evhttp_add_header(headers, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), what.body.data(), what.body.size());
     restartTimer(running);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -82,6 +82,7 @@
     event_base *loop = nullptr;
     evhtp_t *listener = nullptr;
     bool listening = false;
+    bool closing = false;
     http_limits limits;
     http_handler *handler = nullptr;
     std::unordered_map<evhtp_connection_t *, std::unique_ptr<connection>> connections;
@@ -94,6 +95,7 @@
     void reject(evhtp_request_t *request, connection &from, result_code code);
     evhtp_request_t *finish(exchange_id exchange);
     evhtp_request_t *find(exchange_id exchange) const;
+    void endKeepAlive(evhtp_request_t *request) const;
 
     static evhtp_res onAccept(evhtp_connection_t *handle, void *context);
     static evhtp_res onHeadersStart(evhtp_request_t *request, void *context);
@@ -280,6 +282,14 @@
     return request;
 }
 
+void http_server::state::endKeepAlive(evhtp_request_t *request) const
+{
+    if (closing) {
+        addHeaders(request, { { "Connection", "close" } });
+        evhtp_request_set_keepalive(request, 0);
+    }
+}
+
 http_server::http_server(std::unique_ptr<state> initial)
     : m_state(std::move(initial))
 {
@@ -315,6 +325,7 @@
         return;
     }
     addHeaders(request, headers);
+    m_state->endKeepAlive(request);
     evbuffer_add(request->buffer_out, body.data(), body.size());
     evhtp_send_reply(request, static_cast<evhtp_res>(status));
 }
@@ -323,6 +334,7 @@
 {
     if (evhtp_request_t *request = m_state->find(exchange); request != nullptr) {
         addHeaders(request, headers);
+        m_state->endKeepAlive(request);
         evhtp_send_reply_chunk_start(request, static_cast<evhtp_res>(status));
     }
 }
@@ -362,6 +374,25 @@
     }
 }
 
+void http_server::closeAfterAnswers()
+{
+    m_state->closing = true;
+}
+
+void http_server::closeIdle()
+{
+    std::vector<evhtp_connection_t *> idle;
+    for (const auto &[handle, from] : m_state->connections) {
+        if (from->current == exchange_id {} && handle->request == nullptr
+            && evbuffer_get_length(bufferevent_get_output(handle->bev)) == 0) {
+            idle.push_back(handle);
+        }
+    }
+    for (auto *handle : idle) {
+        evhtp_connection_free(handle);
+    }
+}
+
 bool http_server::hasUnsentBytes() const
 {
     const auto &open = m_state->connections;
