--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -69,7 +69,7 @@
     /** True if `target` may still get requests: ready, its data centre in service. */
     [[nodiscard]] bool isOpen(const directory_entry &entry) const;
 
-    void onStarted(const target_id &target, time_point now);
+    void onStarted(const target_id &target);
     void onEnded(const target_id &target, attempt_result result, time_point now);
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -186,7 +186,7 @@
     attempt.startedAt = m_now;
     attempt.lastProgress = m_now;
     m_attempts.emplace(m_lastAttempt, std::move(attempt));
-    m_pool.onStarted(target.what.target, m_now);
+    m_pool.onStarted(target.what.target);
     outgoing_call call;
     call.request = state.request;
     call.target = target.what.target;
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -141,7 +141,7 @@
     return *best;
 }
 
-void target_pool::onStarted(const target_id &target, time_point now)
+void target_pool::onStarted(const target_id &target)
 {
     auto &record = m_records[target];
     record.inFlight += 1;
