--- a/include/figcleat/core/clock.h
+++ b/include/figcleat/core/clock.h
@@ -20,6 +20,7 @@
     [[nodiscard]] virtual wall_time wallNow() const = 0;
 };
 
+/** Counts the time for which the VM was suspended, so that a lease has expired when it wakes. */
 class system_clock : public clock
 {
 public:
--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -5,6 +5,7 @@
 #include "figcleat/daemon/messenger.h"
 #include "figcleat/daemon/node-links.h"
 #include "figcleat/forward/dialect.h"
+#include "figcleat/group/map-controller.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -65,6 +66,12 @@
     void receive(const envelope &received);
     void onPoll(const envelope &received, const forward::node_poll &poll);
     void onUpdate(const envelope &received, const forward::node_update &update);
+    void onRankReport(const envelope &received, const forward::rank_report &report);
+    void onRankResult(const forward::rank_result &result);
+    /** True while this coordinator leads and no earlier leader can still act. */
+    [[nodiscard]] bool mayOrder() const;
+    void stepMaps(const group_id &group, const group::map_event &event);
+    void applyRoutes();
     void publish();
     void update(const peer_address &to, subscriber &who);
     void pollOthers();
@@ -83,6 +90,16 @@
     forward::target_directory m_directory;
     std::map<peer_address, subscriber> m_subscribers;
     std::map<exchange_id, http_request> m_open;
+    /** Groups whose expert maps this coordinator controls while it leads. */
+    struct group_record
+    {
+        std::unique_ptr<group::map_controller> controller;
+        std::map<group::rank_number, peer_address> agents;
+    };
+    std::map<group_id, group_record> m_groups;
+    std::map<service_id, group::group_model> m_models;
+    std::optional<time_point> m_leadsSince;
+    time_point m_lastTick {};
     bool m_hasLeader = false;
     bool m_stopping = false;
 };
--- a/include/figcleat/daemon/node-links.h
+++ b/include/figcleat/daemon/node-links.h
@@ -30,6 +30,7 @@
         std::uint64_t directoryVersion = 0;
         time_point heard {};
         std::uint32_t fronts = 0;
+        std::uint64_t term = 0;
         peer_address leader {};
         bool isSeed = false;
     };
@@ -46,6 +47,9 @@
     [[nodiscard]] std::vector<peer_address> addresses() const;
     /** Coordinators heard within `window`. */
     [[nodiscard]] std::size_t heardWithin(duration window, time_point now) const;
+    /** Leader of the replicated log as the coordinator with the highest term names it; empty if none is known. */
+    [[nodiscard]] peer_address leader(duration window, time_point now) const;
+    [[nodiscard]] std::uint64_t highestTerm() const;
     /** The most fronts that a coordinator has counted lately; 0 if none has. */
     [[nodiscard]] std::uint32_t fronts(duration window, time_point now) const;
 
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -99,7 +99,8 @@
                    attempt_closed, peer_state, proposal, proposal_answer, usage_query, usage_answer, membership_request,
                    summary_query, summary_answer, distribution::heartbeat, distribution::fetch_configuration,
                    distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message,
-                   forward::node_poll, forward::node_update>;
+                   forward::node_poll, forward::node_update, forward::rank_report, forward::rank_command,
+                   forward::rank_result>;
 
 struct envelope
 {
--- a/include/figcleat/forward/dialect.h
+++ b/include/figcleat/forward/dialect.h
@@ -3,6 +3,7 @@
 #include "figcleat/forward/forwarder.h"
 #include "figcleat/forward/route-table.h"
 #include "figcleat/forward/target-directory.h"
+#include "figcleat/group/engine-rank.h"
 #include "figcleat/http/server.h"
 #include "figcleat/target/messages.h"
 
@@ -84,6 +85,20 @@
     [[nodiscard]] virtual expected<coordinator_call> decodeCall(const http_request &request) const = 0;
     [[nodiscard]] virtual http_answer encodeAnswer(const http_request &request,
                                                    const coordinator_answer &answer) const = 0;
+    // Calls of an agent to the engine beside it.
+    [[nodiscard]] virtual service_call statusCall() const = 0;
+    /** Reads the choices of the rank's requests, or with `lists` the experts that it holds. */
+    [[nodiscard]] virtual service_call expertsCall(bool lists) const = 0;
+    [[nodiscard]] virtual service_call orderCall(const group::rank_order &order) const = 0;
+    /** Fills in the state of the rank; `not_found` if the engine belongs to no group. */
+    [[nodiscard]] virtual expected<void> decodeStatus(const std::string &body,
+                                                      group::engine_rank_status &status) const = 0;
+    [[nodiscard]] virtual expected<void> decodeChosen(const std::string &body, std::size_t sets,
+                                                      group::engine_rank_status &status) const = 0;
+    [[nodiscard]] virtual expected<void> decodeLists(const std::string &body,
+                                                     group::engine_rank_status &status) const = 0;
+    [[nodiscard]] virtual group::order_result decodeOrderResult(int status) const = 0;
+
     /** Reads the content of a configuration; `configuration_invalid` if it cannot be read in full. */
     [[nodiscard]] virtual expected<route_table> decodeRoutes(const std::string &content) const = 0;
 };
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -2,6 +2,7 @@
 
 #include "figcleat/agreed/commands.h"
 #include "figcleat/forward/target-directory.h"
+#include "figcleat/group/engine-rank.h"
 
 #include <optional>
 #include <vector>
@@ -15,6 +16,8 @@
     front,
     /** Takes registrations and operators' commands. */
     coordinator,
+    /** Runs beside a target and passes orders on to its engine. */
+    agent,
 };
 
 /** Asks a coordinator for what has changed; sent on a period, so that a lost update is made good. */
@@ -44,10 +47,38 @@
     std::vector<peer_address> coordinators;
     /** Leader of the replicated log; empty if not known. */
     peer_address leader;
+    /** Term of the log at the sender. */
+    std::uint64_t term = 0;
     /** Nodes that forward requests and have polled lately. */
     std::uint32_t fronts = 0;
 
-    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, fronts)
+    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts)
+};
+
+/** State of the rank beside an agent, for the leader of the replicated log. */
+struct rank_report
+{
+    group::engine_rank_status status;
+
+    MSGPACK_DEFINE(status)
+};
+
+/** An order of the leader for the rank beside an agent; agents refuse those of earlier terms. */
+struct rank_command
+{
+    std::uint64_t term = 0;
+    group::rank_order order;
+
+    MSGPACK_DEFINE(term, order)
+};
+
+struct rank_result
+{
+    group_id group;
+    group::rank_number rank = 0;
+    group::rank_order_answer answer;
+
+    MSGPACK_DEFINE(group, rank, answer)
 };
 
 } // namespace figcleat::forward
--- a/include/figcleat/forward/node-settings.h
+++ b/include/figcleat/forward/node-settings.h
@@ -47,6 +47,9 @@
     /** The whole deployment starts for the first time. */
     bool isFirstStart = false;
     std::string dataFolder;
+    /** For an agent: the engine beside it and its service. */
+    std::optional<socket_address> engine;
+    service_id service;
     std::vector<data_centre_id> dataCentres;
     deployment_bounds bounds;
 };
--- a/include/figcleat/forward/route-table.h
+++ b/include/figcleat/forward/route-table.h
@@ -3,6 +3,7 @@
 #include "figcleat/core/clock.h"
 #include "figcleat/core/ids.h"
 #include "figcleat/core/result-code.h"
+#include "figcleat/group/group-model.h"
 
 #include <cstdint>
 #include <map>
@@ -66,6 +67,8 @@
     std::uint32_t maxConnections = 0;
     /** Requests a second that a cold target bears. */
     double coldPerSecond = 0;
+    /** For model engines whose ranks share experts. */
+    std::optional<group::group_model> groups {};
 };
 
 struct workspace_keys
--- /dev/null
+++ b/include/figcleat/group/map-controller.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "figcleat/core/clock.h"
+#include "figcleat/group/engine-rank.h"
+#include "figcleat/group/group-model.h"
+#include "figcleat/group/planner.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace figcleat::group
+{
+
+// Events.
+
+struct rank_reported
+{
+    engine_rank_status status;
+};
+
+struct order_answered
+{
+    rank_number rank = 0;
+    rank_order_answer answer;
+};
+
+struct map_tick
+{
+};
+
+using map_event = std::variant<rank_reported, order_answered, map_tick>;
+
+// Actions.
+
+struct send_order
+{
+    rank_number rank = 0;
+    rank_order order;
+};
+
+/** For logs. */
+struct map_note
+{
+    std::string what;
+};
+
+using map_action = std::variant<send_order, map_note>;
+
+struct map_controller_settings
+{
+    group_model model;
+    /** First version that this controller uses; higher than those of every earlier controller. */
+    std::uint64_t firstVersion = 1;
+};
+
+/**
+ * Keeps the expert map of one group in step with what is in demand, for engines that load and switch maps on orders.
+ *
+ * Every rank prepares the new map. Then one rank holds a step S, so that the group cannot begin it; all ranks are armed
+ * for S; the hold is released when every rank has confirmed. Until then no rank switches, and afterwards all do, as the
+ * same step begins. Each order names the count of orders that it expects at its rank, so one that is carried out late
+ * has no effect, and two controllers cannot both change a rank.
+ *
+ * Only one controller may act at a time. One that finds a hold of its predecessor releases it if every rank is armed;
+ * else it disarms all and lets every rank prepare the present map, which makes earlier orders void, before the release.
+ * Armed ranks without a hold are about to switch and are left alone.
+ */
+class map_controller
+{
+public:
+    enum class phase : std::uint8_t {
+        /** Nothing is under way. */
+        idle,
+        /** Ranks load the experts of the next map. */
+        preparing,
+        /** One rank is asked to hold the step. */
+        holding,
+        arming,
+        releasing,
+        /** The hold is released; the ranks switch as the step begins. */
+        switching,
+        /** What an earlier controller or switch left behind is undone. */
+        disarming,
+        voiding,
+    };
+
+    explicit map_controller(map_controller_settings settings);
+
+    [[nodiscard]] std::vector<map_action> step(const map_event &event, time_point now);
+    [[nodiscard]] phase currentPhase() const;
+    /** Load of the busiest rank over the mean with the present map, as of the latest counts; 0 if not known. */
+    [[nodiscard]] double skew() const;
+    [[nodiscard]] std::uint64_t switches() const;
+
+private:
+    struct rank_state
+    {
+        engine_rank_status status;
+        time_point heard {};
+        /** Order of the present phase without an answer. */
+        order_id pending;
+        time_point sentAt {};
+        /** The rank has confirmed the present phase. */
+        bool confirmed = false;
+        /** The rank refused the last order; the next report tells why. */
+        bool refused = false;
+        /** Counts at the last report, to find what was chosen since. */
+        expert_lists lastChosen;
+    };
+
+    void handle(const rank_reported &event);
+    void handle(const order_answered &event);
+    void handle(const map_tick &event);
+    void restart(const engine_rank_status &status);
+    void learnChosen(rank_state &rank, const expert_lists &chosen);
+    [[nodiscard]] bool isComplete() const;
+    [[nodiscard]] bool areFresh(duration window) const;
+    [[nodiscard]] bool isClean() const;
+    [[nodiscard]] bool isHeld() const;
+    [[nodiscard]] bool canArm() const;
+    void recover();
+    void releaseHold();
+    void reconsider(rank_state &rank);
+    [[nodiscard]] bool isSettled(const rank_state &rank) const;
+    void enter(phase next);
+    void advance();
+    void leavePhase();
+    void checkTimeouts();
+    void advanceIdle();
+    void planNext();
+    void sendToUnsettled();
+    void send(rank_number rank, rank_state &to, rank_order order);
+    [[nodiscard]] rank_order orderFor(const rank_state &to) const;
+    [[nodiscard]] bool takesPart(rank_number rank) const;
+    [[nodiscard]] expert_map presentMap() const;
+    [[nodiscard]] std::vector<expert_lists> inOrderForm(const std::vector<layer_map> &layers) const;
+    void chooseStep();
+    void note(std::string what);
+
+    map_controller_settings m_settings;
+    time_point m_now {};
+    std::vector<map_action> m_actions;
+    phase m_phase = phase::idle;
+    time_point m_since {};
+    epoch_number m_epoch;
+    std::map<rank_number, rank_state> m_ranks;
+    rank_number m_size = 0;
+    order_id m_lastOrder;
+    map_version m_nextVersion;
+    map_version m_version;
+    std::vector<layer_map> m_layers;
+    step_number m_step;
+    /** Rank that holds the step. */
+    rank_number m_holder = 0;
+    std::uint64_t m_stepMargin = 0;
+    time_point m_nextPlan {};
+    /** Smoothed count of choices by set and expert. */
+    std::vector<std::vector<double>> m_popularity;
+    time_point m_popularityAt {};
+    double m_skew = 0;
+    std::uint64_t m_switches = 0;
+};
+
+} // namespace figcleat::group
--- a/include/figcleat/group/planner.h
+++ b/include/figcleat/group/planner.h
@@ -24,6 +24,8 @@
 {
     /** Experts that a rank can hold in each layer. */
     std::size_t slotsPerRank = 2;
+    /** Experts of a layer that a rank can load in one switch; 0 for no such limit. */
+    std::size_t loadsPerRank = 0;
     byte_count bytesPerExpert { 44'000'000 };
     /** Rate of the weight store that this group has at present, as the scheduler of the store grants it. */
     byte_count storeBytesPerSecond { 1'000'000'000 };
--- /dev/null
+++ b/src/daemon/agent-node.cc
@@ -0,0 +1,250 @@
+#include "figcleat/daemon/agent-node.h"
+
+#include "figcleat/core/log.h"
+#include "figcleat/core/overloaded.h"
+
+namespace figcleat
+{
+
+namespace
+{
+
+/** Coordinators are asked who leads. */
+constexpr duration pollPeriod = std::chrono::milliseconds(1000);
+/** Period of reports; a leader needs them fresh for a switch of maps. */
+constexpr duration watchPeriod = std::chrono::milliseconds(200);
+/** Choices are read with every so many reports; demand shifts within seconds. */
+constexpr std::uint64_t watchesPerRead = 2;
+constexpr duration coordinatorSilence = std::chrono::milliseconds(2500);
+/** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
+constexpr duration engineTimeout = std::chrono::milliseconds(120);
+
+auto logger()
+{
+    return logFor(part::group);
+}
+
+} // namespace
+
+expected<std::unique_ptr<agent_node>> agent_node::open(const forward::node_settings &settings,
+                                                       const forward::dialect &language, loop &eventLoop,
+                                                       const clock &time, std::uint64_t random)
+{
+    auto opened = std::unique_ptr<agent_node>(new agent_node(settings, language, eventLoop, time, random));
+    if (const auto started = opened->start(); !started) {
+        return tl::unexpected<error>(started.error());
+    }
+    return opened;
+}
+
+agent_node::agent_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
+                       const clock &time, std::uint64_t random)
+    : m_settings(std::move(settings))
+    , m_dialect(&language)
+    , m_loop(&eventLoop)
+    , m_time(&time)
+    , m_incarnation { random | 1U }
+    , m_links(m_settings.seeds, {}, time.now())
+{
+}
+
+expected<void> agent_node::start()
+{
+    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
+    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
+                                    [this](const envelope &received) { receive(received); });
+    if (!messages) {
+        return tl::unexpected<error>(messages.error());
+    }
+    m_messenger = std::move(*messages);
+    const http_client_settings client { .connectTimeout = engineTimeout,
+                                        .firstByteTimeout = engineTimeout,
+                                        .progressTimeout = engineTimeout,
+                                        .endOfConnectionIsEnd = false,
+                                        .keepHost = false };
+    m_engine
+        = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
+    m_loop->every(pollPeriod, [this] { poll(); });
+    m_loop->every(watchPeriod, [this] { watch(); });
+    poll();
+    return {};
+}
+
+void agent_node::drain()
+{
+    logger()->info("event=stop");
+    m_loop->stop();
+}
+
+void agent_node::reload(const forward::node_settings &settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_links.setSeeds(settings.seeds, m_time->now());
+    logger()->info("event=reload seeds={}", settings.seeds.size());
+}
+
+void agent_node::call(const service_call &what, answer_function onAnswer)
+{
+    m_lastCall = m_lastCall.next();
+    const attempt_id attempt { m_incarnation, m_lastCall };
+    m_calls[attempt].onAnswer = std::move(onAnswer);
+    m_engine->start(attempt, what);
+}
+
+void agent_node::onAnswerStart(attempt_id attempt, int status, const http_headers & /*headers*/)
+{
+    m_calls[attempt].status = status;
+}
+
+void agent_node::onBytes(attempt_id attempt, std::string_view bytes)
+{
+    m_calls[attempt].body += bytes;
+}
+
+void agent_node::onAnswerEnd(attempt_id attempt)
+{
+    finish(attempt, true);
+}
+
+void agent_node::onFailure(attempt_id attempt, bool /*notSent*/)
+{
+    finish(attempt, false);
+}
+
+void agent_node::finish(attempt_id attempt, bool isWhole)
+{
+    const auto found = m_calls.find(attempt);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    m_calls.erase(found);
+    done.onAnswer(isWhole ? done.status : 0, done.body);
+}
+
+void agent_node::receive(const envelope &received)
+{
+    std::visit(overloaded {
+                   [&](const forward::node_update &update) {
+                       m_links.onUpdate(received.from, received.incarnation, update, m_time->now());
+                       m_term = std::max(m_term, update.term);
+                   },
+                   [&](const forward::rank_command &command) { onCommand(command); },
+                   [](const auto &) {},
+               },
+               received.message);
+}
+
+void agent_node::onCommand(const forward::rank_command &command)
+{
+    if (command.term < m_term || !m_status) {
+        logger()->warn("event=order_refused order={} term={} known_term={}", command.order.id.value, command.term,
+                       m_term);
+        return;
+    }
+    m_term = command.term;
+    const auto order = command.order;
+    call(m_dialect->orderCall(order), [this, order](int status, const std::string &body) {
+        const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
+        logger()->info("event=order op={} version={} step={} expected={} status={} answer={}",
+                       static_cast<int>(order.operation), order.version.value, order.step.value, order.expectedOrders,
+                       status, result == group::order_result::refused ? body : "");
+        m_messenger->send(m_links.leader(coordinatorSilence, m_time->now()),
+                          forward::rank_result { m_status->group, m_status->rank, { order.id, result } });
+        readStatus();
+    });
+}
+
+void agent_node::poll()
+{
+    m_links.forgetSilent(m_time->now());
+    m_messenger->tick();
+    for (const auto &[address, link] : m_links.links()) {
+        // An agent needs neither targets nor configuration, so it says that it has them all.
+        m_messenger->send(address,
+                          forward::node_poll {
+                              m_settings.vm, forward::node_role::agent, link.incarnation, link.directoryVersion, {} });
+    }
+}
+
+void agent_node::watch()
+{
+    ++m_watches;
+    readStatus();
+}
+
+void agent_node::readStatus()
+{
+    if (std::exchange(m_readsStatus, true)) {
+        return;
+    }
+    call(m_dialect->statusCall(), [this](int status, const std::string &body) { onStatus(status, body); });
+}
+
+void agent_node::onStatus(int status, const std::string &body)
+{
+    constexpr int okStatus = 200;
+    m_readsStatus = false;
+    if (m_watches < 4) { logger()->info("RAW status={} {}", status, body); }
+    if (status != okStatus) {
+        return;
+    }
+    group::engine_rank_status next;
+    next.service = m_settings.service;
+    if (const auto decoded = m_dialect->decodeStatus(body, next); !decoded) {
+        if (m_watches % 100 == 1) {
+            logger()->info("event=no_group reason={}", decoded.error().detail);
+        }
+        return;
+    }
+    const bool isSameMap = m_status && m_status->epoch == next.epoch && m_status->map == next.map;
+    if (isSameMap) {
+        next.experts = m_status->experts;
+    }
+    m_status = std::move(next);
+    if (m_status->experts.empty()) {
+        readLists();
+    } else if (m_watches % watchesPerRead == 0) {
+        readChosen();
+    } else {
+        report();
+    }
+}
+
+void agent_node::readLists()
+{
+    if (std::exchange(m_readsLists, true)) {
+        return;
+    }
+    call(m_dialect->expertsCall(true), [this](int /*status*/, const std::string &body) {
+        logger()->info("RAW lists {}", body.substr(0, 600));
+        m_readsLists = false;
+        if (const auto decoded = m_dialect->decodeLists(body, *m_status); !decoded) {
+            logger()->warn("event=lists_unreadable reason={}", decoded.error().detail);
+            return;
+        }
+        report();
+    });
+}
+
+void agent_node::readChosen()
+{
+    call(m_dialect->expertsCall(false), [this](int /*status*/, const std::string &body) {
+        if (m_watches % 20 == 0) { logger()->info("RAW picked {}", body.substr(0, 900)); }
+        if (const auto decoded = m_dialect->decodeChosen(body, m_status->experts.size(), *m_status); !decoded) {
+            logger()->warn("event=choices_unreadable reason={}", decoded.error().detail);
+        }
+        report();
+        m_status->chosen.clear();
+    });
+}
+
+void agent_node::report()
+{
+    const auto leader = m_links.leader(coordinatorSilence, m_time->now());
+    if (!leader.empty()) {
+        m_messenger->send(leader, forward::rank_report { *m_status });
+    }
+}
+
+} // namespace figcleat
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -22,6 +22,14 @@
 /** After its start, time in which a coordinator finds the others. */
 constexpr duration startPeriod = std::chrono::seconds(2);
 constexpr std::size_t maxSubscribers = 4096;
+/** A new leader orders nothing until its predecessor has stepped down, which takes `consensus::quorumTimeout`. */
+constexpr duration takeoverPeriod = std::chrono::seconds(2);
+static_assert(takeoverPeriod > consensus::quorumTimeout);
+/** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
+constexpr duration suspendedPause = 4 * tickPeriod;
+constexpr std::size_t maxGroups = 256;
+/** Versions of maps in one term; a later term begins above all versions of an earlier one. */
+constexpr std::uint64_t versionsPerTerm = 1'000'000;
 
 auto logger()
 {
@@ -75,6 +83,7 @@
     wiring.onCommitted = [this](const agreed::configuration_in_force &committed) {
         logger()->info("event=configuration revision={} version={} data_centres_out={}", committed.revision.value,
                        committed.number, committed.dataCentresOut.size());
+        applyRoutes();
         publish();
     };
     auto control = control_node::open(own, self, random, std::move(wiring));
@@ -184,12 +193,7 @@
     if (known) {
         return *known;
     }
-    for (const auto &[address, link] : m_links.links()) {
-        if (!link.leader.empty() && m_time->now() - link.heard < isolationSilence) {
-            return link.leader;
-        }
-    }
-    return {};
+    return m_links.leader(isolationSilence, m_time->now());
 }
 
 bool coordinator_node::redirect(exchange_id exchange)
@@ -274,6 +278,8 @@
                    [&](const consensus::raft_message &message) { m_control->receive(received.from, message); },
                    [&](const forward::node_poll &poll) { onPoll(received, poll); },
                    [&](const forward::node_update &update) { onUpdate(received, update); },
+                   [&](const forward::rank_report &report) { onRankReport(received, report); },
+                   [&](const forward::rank_result &result) { onRankResult(result); },
                    [](const auto &) {},
                },
                received.message);
@@ -298,13 +304,17 @@
     forward::node_update message;
     message.directoryVersion = m_directory.version();
     message.since = who.directoryVersion;
-    message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
+    if (who.role != forward::node_role::agent) {
+        message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
+    }
     const auto &held = m_control->state().configuration();
     if (who.role == forward::node_role::front && held.revision > who.revision) {
         message.configuration.push_back(held);
     }
     message.coordinators = m_links.addresses();
-    message.leader = m_control->status().leader.value_or(peer_address {});
+    const auto log = m_control->status();
+    message.leader = log.leader.value_or(peer_address {});
+    message.term = log.term.value;
     for (const auto &[address, one] : m_subscribers) {
         const bool counts = one.role == forward::node_role::front && m_time->now() - one.heard < subscriberSilence;
         message.fronts += counts ? 1 : 0;
@@ -314,10 +324,82 @@
     m_messenger->send(to, std::move(message));
 }
 
+void coordinator_node::applyRoutes()
+{
+    const auto routes = m_dialect->decodeRoutes(m_control->state().configuration().content);
+    if (!routes) {
+        logger()->error("event=configuration_unreadable reason={}", routes.error().detail);
+        return;
+    }
+    std::map<service_id, group::group_model> models;
+    for (const auto &one : routes->services) {
+        if (one.groups) {
+            models.emplace(one.name, *one.groups);
+        }
+    }
+    if (models != m_models) {
+        m_models = std::move(models);
+        m_groups.clear();
+    }
+}
+
+bool coordinator_node::mayOrder() const
+{
+    return m_leadsSince && m_time->now() - *m_leadsSince >= takeoverPeriod;
+}
+
+void coordinator_node::onRankReport(const envelope &received, const forward::rank_report &report)
+{
+    if (m_time->now() - m_lastTick > suspendedPause) {
+        tick();
+    }
+    const auto model = m_models.find(report.status.service);
+    const bool isKnown = m_groups.contains(report.status.group) || m_groups.size() < maxGroups;
+    if (!mayOrder() || model == m_models.end() || !isKnown) {
+        return;
+    }
+    auto &record = m_groups[report.status.group];
+    if (!record.controller) {
+        record.controller = std::make_unique<group::map_controller>(
+            group::map_controller_settings { model->second, m_control->status().term.value * versionsPerTerm + 1 });
+    }
+    record.agents[report.status.rank] = received.from;
+    stepMaps(report.status.group, group::rank_reported { report.status });
+}
+
+void coordinator_node::onRankResult(const forward::rank_result &result)
+{
+    if (mayOrder()) {
+        stepMaps(result.group, group::order_answered { result.rank, result.answer });
+    }
+}
+
+void coordinator_node::stepMaps(const group_id &group, const group::map_event &event)
+{
+    const auto found = m_groups.find(group);
+    if (found == m_groups.end()) {
+        return;
+    }
+    auto &record = found->second;
+    const std::uint64_t term = m_control->status().term.value;
+    for (auto &action : record.controller->step(event, m_time->now())) {
+        std::visit(
+            overloaded {
+                [&](group::send_order &what) {
+                    m_messenger->send(record.agents[what.rank], forward::rank_command { term, std::move(what.order) });
+                },
+                [&](const group::map_note &what) {
+                    logFor(part::group)->info("event=map group={} term={} {}", group.value, term, what.what);
+                },
+            },
+            action);
+    }
+}
+
 void coordinator_node::publish()
 {
     for (auto &[address, who] : m_subscribers) {
-        if (m_time->now() - who.heard < subscriberSilence) {
+        if (who.role != forward::node_role::agent && m_time->now() - who.heard < subscriberSilence) {
             update(address, who);
         }
     }
@@ -362,8 +444,19 @@
 
 void coordinator_node::tick()
 {
+    m_lastTick = m_time->now();
     m_messenger->tick();
     m_control->tick();
+    const bool leads = m_control->status().role == consensus::raft_role::leader;
+    if (leads != m_leadsSince.has_value()) {
+        m_leadsSince = leads ? std::optional(m_lastTick) : std::nullopt;
+        m_groups.clear();
+    }
+    if (mayOrder()) {
+        for (const auto &entry : m_groups) {
+            stepMaps(entry.first, group::map_tick {});
+        }
+    }
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
     }
--- a/src/daemon/node-links.cc
+++ b/src/daemon/node-links.cc
@@ -46,6 +46,7 @@
     one.heard = now;
     one.fronts = update.fronts;
     one.leader = update.leader;
+    one.term = update.term;
     // An update before this one may have been lost; then the next poll asks for its changes again.
     if (update.since <= one.directoryVersion) {
         one.directoryVersion = std::max(one.directoryVersion, update.directoryVersion);
@@ -82,6 +83,28 @@
     }));
 }
 
+peer_address coordinator_links::leader(duration window, time_point now) const
+{
+    std::uint64_t term = 0;
+    peer_address leader;
+    for (const auto &[address, one] : m_links) {
+        if (!one.leader.empty() && now - one.heard <= window && one.term >= term) {
+            term = one.term;
+            leader = one.leader;
+        }
+    }
+    return leader;
+}
+
+std::uint64_t coordinator_links::highestTerm() const
+{
+    std::uint64_t term = 0;
+    for (const auto &entry : m_links) {
+        term = std::max(term, entry.second.term);
+    }
+    return term;
+}
+
 std::uint32_t coordinator_links::fronts(duration window, time_point now) const
 {
     std::uint32_t most = 0;
--- /dev/null
+++ b/src/group/map-controller.cc
@@ -0,0 +1,504 @@
+#include "figcleat/group/map-controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fmt/format.h>
+#include <numeric>
+
+namespace figcleat::group
+{
+
+namespace
+{
+
+/** Counts lose half of their weight in this time; demand shifts every few seconds. */
+constexpr double popularityHalfLifeSeconds = 0.6;
+/** Plans are made this often while nothing is under way. */
+constexpr duration planPeriod = std::chrono::milliseconds(300);
+/** A report that is older says too little of a rank to begin a switch. */
+constexpr duration freshness = std::chrono::milliseconds(700);
+/** An order is sent again after this time; orders and their answers stay on one machine and one network. */
+constexpr duration orderTimeout = std::chrono::milliseconds(150);
+/** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
+constexpr duration prepareTimeout = std::chrono::seconds(6);
+constexpr duration switchTimeout = std::chrono::seconds(3);
+/** Steps between the last one reported and the one that is held: reports are a few steps old. */
+constexpr std::uint64_t firstStepMargin = 3;
+constexpr std::uint64_t maxStepMargin = 48;
+/** New experts of a rank and set in one switch; more take longer to load than demand stays. */
+constexpr std::size_t loadsPerSwitch = 2;
+/** Time for which a map is taken to be of use; demand shifts every few seconds. */
+constexpr duration mapLifetime = std::chrono::seconds(4);
+/** Share of the step time that loading costs while it lasts (platform's description of its engines). */
+constexpr double loadingSlowdown = 0.15;
+
+} // namespace
+
+map_controller::map_controller(map_controller_settings settings)
+    : m_settings(settings)
+    , m_nextVersion { settings.firstVersion }
+    , m_stepMargin(firstStepMargin)
+{
+}
+
+map_controller::phase map_controller::currentPhase() const
+{
+    return m_phase;
+}
+
+double map_controller::skew() const
+{
+    return m_skew;
+}
+
+std::uint64_t map_controller::switches() const
+{
+    return m_switches;
+}
+
+std::vector<map_action> map_controller::step(const map_event &event, time_point now)
+{
+    m_now = now;
+    std::visit([this](const auto &what) { handle(what); }, event);
+    return std::exchange(m_actions, {});
+}
+
+void map_controller::restart(const engine_rank_status &status)
+{
+    m_epoch = status.epoch;
+    m_size = status.ranks;
+    m_ranks.clear();
+    enter(phase::idle);
+    note(fmt::format("epoch={} ranks={}", m_epoch.value, m_size));
+}
+
+void map_controller::handle(const rank_reported &event)
+{
+    const auto &status = event.status;
+    if (status.epoch < m_epoch || status.ranks == 0 || status.rank >= status.ranks) {
+        return;
+    }
+    if (status.epoch > m_epoch || status.ranks != m_size) {
+        restart(status);
+    }
+    auto &rank = m_ranks[status.rank];
+    if (status.orders < rank.status.orders || status.step < rank.status.step) {
+        // Overtaken by a later report.
+        return;
+    }
+    learnChosen(rank, status.chosen);
+    rank.status = status;
+    rank.heard = m_now;
+    if (std::exchange(rank.refused, false)) {
+        reconsider(rank);
+    }
+    m_nextVersion = std::max({ m_nextVersion, status.map.next(), status.prepared.next(), status.armed.next() });
+    advance();
+}
+
+void map_controller::learnChosen(rank_state &rank, const expert_lists &chosen)
+{
+    const auto &model = m_settings.model;
+    const bool fits = chosen.size() == model.sets
+        && std::all_of(chosen.begin(), chosen.end(), [&](const auto &set) { return set.size() == model.experts; });
+    if (!fits) {
+        return;
+    }
+    m_popularity.resize(model.sets, std::vector<double>(model.experts, 0));
+    const double age = std::chrono::duration<double>(m_now - m_popularityAt).count();
+    const double kept = std::exp2(-std::max(0.0, age) / popularityHalfLifeSeconds);
+    m_popularityAt = m_now;
+    for (std::size_t set = 0; set < model.sets; ++set) {
+        for (std::size_t expert = 0; expert < model.experts; ++expert) {
+            auto &weight = m_popularity[set][expert];
+            weight *= kept;
+            const auto before = rank.lastChosen.empty() ? chosen[set][expert] : rank.lastChosen[set][expert];
+            weight += chosen[set][expert] >= before ? chosen[set][expert] - before : 0;
+        }
+    }
+    rank.lastChosen = chosen;
+}
+
+void map_controller::handle(const order_answered &event)
+{
+    const auto found = m_ranks.find(event.rank);
+    if (found == m_ranks.end() || found->second.pending != event.answer.id) {
+        return;
+    }
+    auto &rank = found->second;
+    switch (event.answer.result) {
+    case order_result::accepted:
+        rank.pending = {};
+        rank.confirmed = true;
+        break;
+    case order_result::refused:
+        rank.pending = {};
+        rank.sentAt = m_now;
+        rank.refused = true;
+        break;
+    case order_result::unknown:
+        rank.pending = {};
+        rank.sentAt = {};
+        break;
+    }
+    advance();
+}
+
+/** After a refusal, with a report that is later than it. */
+void map_controller::reconsider(rank_state &rank)
+{
+    rank.sentAt = {};
+    if (m_phase != phase::holding || isSettled(rank)) {
+        return;
+    }
+    if (rank.status.held != step_number {}) {
+        m_step = rank.status.held;
+        return;
+    }
+    m_stepMargin = std::min(m_stepMargin * 2, maxStepMargin);
+    chooseStep();
+}
+
+void map_controller::handle(const map_tick & /*event*/)
+{
+    advance();
+}
+
+bool map_controller::isComplete() const
+{
+    return m_size > 0 && m_ranks.size() == m_size;
+}
+
+bool map_controller::areFresh(duration window) const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto &entry) {
+        return m_now - entry.second.heard <= window && entry.second.status.isOpen;
+    });
+}
+
+/** No rank is armed or held, and all use one map. */
+bool map_controller::isClean() const
+{
+    const auto map = m_ranks.begin()->second.status.map;
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto &entry) {
+        const auto &status = entry.second.status;
+        return status.map == map && status.armed == map_version {} && status.held == step_number {};
+    });
+}
+
+void map_controller::enter(phase next)
+{
+    m_phase = next;
+    m_since = m_now;
+    for (auto &[number, rank] : m_ranks) {
+        rank.pending = {};
+        rank.sentAt = {};
+        rank.confirmed = false;
+        rank.refused = false;
+    }
+}
+
+bool map_controller::takesPart(rank_number rank) const
+{
+    return m_phase == phase::holding || m_phase == phase::releasing ? rank == m_holder : true;
+}
+
+/** What the present phase asks of the rank is done. */
+bool map_controller::isSettled(const rank_state &rank) const
+{
+    const auto &status = rank.status;
+    switch (m_phase) {
+    case phase::idle:
+        return true;
+    case phase::preparing:
+        return status.prepared == m_version;
+    case phase::holding:
+        return rank.confirmed || status.held == m_step;
+    case phase::arming:
+        return rank.confirmed || status.armed == m_version;
+    case phase::releasing:
+        return rank.confirmed || (rank.heard > m_since && status.held == step_number {});
+    case phase::switching:
+        return status.map == m_version;
+    case phase::disarming:
+        return rank.confirmed || (rank.heard > m_since && status.armed == map_version {});
+    case phase::voiding:
+        return rank.confirmed || status.prepared == m_version;
+    }
+    return false;
+}
+
+rank_order map_controller::orderFor(const rank_state &to) const
+{
+    rank_order order;
+    order.epoch = m_epoch;
+    order.version = m_version;
+    order.step = m_step;
+    order.expectedOrders = to.status.orders;
+    switch (m_phase) {
+    case phase::preparing:
+    case phase::voiding:
+        order.operation = rank_operation::prepare;
+        order.map = inOrderForm(m_layers);
+        break;
+    case phase::holding:
+        order.operation = rank_operation::hold;
+        break;
+    case phase::arming:
+        order.operation = rank_operation::arm;
+        break;
+    case phase::releasing:
+        order.operation = rank_operation::go;
+        break;
+    case phase::disarming:
+        order.operation = rank_operation::disarm;
+        order.version = to.status.armed;
+        break;
+    case phase::idle:
+    case phase::switching:
+        break;
+    }
+    return order;
+}
+
+void map_controller::send(rank_number rank, rank_state &to, rank_order order)
+{
+    m_lastOrder = m_lastOrder.next();
+    order.id = m_lastOrder;
+    to.pending = order.id;
+    to.sentAt = m_now;
+    m_actions.emplace_back(send_order { rank, std::move(order) });
+}
+
+void map_controller::sendToUnsettled()
+{
+    for (auto &[number, rank] : m_ranks) {
+        const bool isDue = rank.sentAt == time_point {} || m_now - rank.sentAt >= orderTimeout;
+        const bool isLoading = m_phase == phase::preparing && rank.confirmed;
+        const bool hasNothingToDisarm = m_phase == phase::disarming && rank.status.armed == map_version {};
+        if (takesPart(number) && !isSettled(rank) && isDue && !isLoading && !hasNothingToDisarm) {
+            send(number, rank, orderFor(rank));
+        }
+    }
+}
+
+bool map_controller::isHeld() const
+{
+    return std::any_of(m_ranks.begin(), m_ranks.end(),
+                       [](const auto &entry) { return entry.second.status.held != step_number {}; });
+}
+
+/** Every rank is armed or still has the map prepared. */
+bool map_controller::canArm() const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [this](const auto &entry) {
+        const auto &status = entry.second.status;
+        return entry.second.confirmed || status.armed == m_version || status.prepared == m_version;
+    });
+}
+
+void map_controller::advance()
+{
+    if (!isComplete()) {
+        return;
+    }
+    const auto isDone = [this] {
+        return std::all_of(m_ranks.begin(), m_ranks.end(),
+                           [this](const auto &entry) { return !takesPart(entry.first) || isSettled(entry.second); });
+    };
+    // Several phases may be done at once, for example when a report shows what an answer did not.
+    while (m_phase != phase::idle && isDone()) {
+        if (m_phase == phase::preparing && !areFresh(freshness)) {
+            return;
+        }
+        leavePhase();
+    }
+    checkTimeouts();
+    if (m_phase == phase::idle) {
+        advanceIdle();
+    }
+    sendToUnsettled();
+}
+
+void map_controller::leavePhase()
+{
+    switch (m_phase) {
+    case phase::preparing:
+        chooseStep();
+        enter(phase::holding);
+        break;
+    case phase::holding:
+        enter(phase::arming);
+        break;
+    case phase::arming:
+        enter(phase::releasing);
+        break;
+    case phase::releasing:
+        enter(m_version == map_version {} ? phase::idle : phase::switching);
+        break;
+    case phase::switching:
+        ++m_switches;
+        m_stepMargin = firstStepMargin;
+        note(fmt::format("switched=1 version={} step={}", m_version.value, m_step.value));
+        enter(phase::idle);
+        break;
+    case phase::disarming:
+        m_version = m_nextVersion;
+        m_nextVersion = m_nextVersion.next();
+        m_layers = presentMap().layers;
+        enter(phase::voiding);
+        break;
+    case phase::voiding:
+        m_version = {};
+        releaseHold();
+        break;
+    case phase::idle:
+        break;
+    }
+}
+
+/** Lets the group begin the step that a rank holds. */
+void map_controller::releaseHold()
+{
+    const auto holder = std::find_if(m_ranks.begin(), m_ranks.end(),
+                                     [](const auto &entry) { return entry.second.status.held != step_number {}; });
+    if (holder == m_ranks.end()) {
+        enter(phase::idle);
+        return;
+    }
+    m_holder = holder->first;
+    m_step = holder->second.status.held;
+    enter(phase::releasing);
+}
+
+void map_controller::checkTimeouts()
+{
+    const duration since = m_now - m_since;
+    if (m_phase == phase::preparing && since >= prepareTimeout) {
+        note(fmt::format("abandoned=1 version={} reason=prepare_timeout", m_version.value));
+        enter(phase::idle);
+    } else if (m_phase == phase::switching && since >= switchTimeout && isClean()) {
+        note(fmt::format("abandoned=1 version={} reason=not_switched", m_version.value));
+        enter(phase::idle);
+    } else if (m_phase == phase::arming && since >= switchTimeout && areFresh(freshness) && !canArm()) {
+        note(fmt::format("abandoned=1 version={} reason=not_prepared", m_version.value));
+        enter(phase::disarming);
+    }
+}
+
+void map_controller::recover()
+{
+    const auto first = m_ranks.begin()->second.status.armed;
+    const bool allArmed = first != map_version {}
+        && std::all_of(m_ranks.begin(), m_ranks.end(),
+                       [first](const auto &entry) { return entry.second.status.armed == first; });
+    note(fmt::format("recovers=1 armed={} all={}", first.value, allArmed));
+    if (allArmed) {
+        m_version = first;
+        releaseHold();
+    } else {
+        enter(phase::disarming);
+    }
+}
+
+void map_controller::advanceIdle()
+{
+    if (!areFresh(freshness)) {
+        return;
+    }
+    if (isHeld()) {
+        recover();
+        return;
+    }
+    if (isClean() && m_now >= m_nextPlan) {
+        m_nextPlan = m_now + planPeriod;
+        planNext();
+    }
+}
+
+expert_map map_controller::presentMap() const
+{
+    expert_map map;
+    map.ranks = m_size;
+    map.layers.assign(m_settings.model.sets, { std::vector<std::vector<rank_number>>(m_settings.model.experts) });
+    for (const auto &[number, rank] : m_ranks) {
+        for (std::size_t set = 0; set < std::min(rank.status.experts.size(), map.layers.size()); ++set) {
+            for (const auto expert : rank.status.experts[set]) {
+                if (expert < m_settings.model.experts) {
+                    map.layers[set].replicas[expert].push_back(number);
+                }
+            }
+        }
+    }
+    return map;
+}
+
+void map_controller::planNext()
+{
+    const auto &model = m_settings.model;
+    const auto present = presentMap();
+    if (m_popularity.empty() || !validate(present, model.placements)) {
+        return;
+    }
+    std::vector<layer_load> loads;
+    plan_limits limits;
+    limits.slotsPerRank = model.placements;
+    limits.loadsPerRank = std::min(model.spare, loadsPerSwitch);
+    limits.bytesPerExpert = model.bytesPerExpert;
+    // Ranks load at the same time, so that a replica takes its part of the group's time.
+    limits.storeBytesPerSecond = { model.loadBytesPerSecond.count * m_size };
+    limits.storePrice = 1;
+    limits.loadingSlowdown = loadingSlowdown;
+    limits.expertShare = model.expertShare;
+    limits.lifetime = mapLifetime;
+    limits.byteBudget = { model.bytesPerExpert.count * static_cast<std::int64_t>(m_size * model.spare * model.sets) };
+    double busiest = 0;
+    double mean = 0;
+    for (std::size_t set = 0; set < model.sets; ++set) {
+        loads.push_back({ m_popularity[set], 0, 0 });
+        const auto ranks = rankLoads(loads.back(), present.layers[set], limits, m_size);
+        busiest += *std::max_element(ranks.begin(), ranks.end());
+        mean += std::accumulate(ranks.begin(), ranks.end(), 0.0) / m_size;
+    }
+    m_skew = mean > 0 ? busiest / mean : 0;
+    auto next = plan(loads, present, limits);
+    if (next.layers.empty()) {
+        return;
+    }
+    m_version = m_nextVersion;
+    m_nextVersion = m_nextVersion.next();
+    m_layers = std::move(next.layers);
+    note(fmt::format("prepare=1 version={} skew={:.2f} replicas={} gain_s={:.2f} cost_s={:.2f}", m_version.value,
+                     m_skew, next.replicasLoaded, next.gainSeconds, next.costSeconds));
+    enter(phase::preparing);
+}
+
+std::vector<expert_lists> map_controller::inOrderForm(const std::vector<layer_map> &layers) const
+{
+    std::vector<expert_lists> sets(layers.size(), expert_lists(m_size));
+    for (std::size_t set = 0; set < layers.size(); ++set) {
+        for (std::uint32_t expert = 0; expert < layers[set].replicas.size(); ++expert) {
+            for (const auto rank : layers[set].replicas[expert]) {
+                sets[set][rank].push_back(expert);
+            }
+        }
+    }
+    return sets;
+}
+
+void map_controller::chooseStep()
+{
+    step_number furthest;
+    for (const auto &[number, rank] : m_ranks) {
+        furthest = std::max(furthest, rank.status.step);
+    }
+    m_step = { furthest.value + m_stepMargin };
+    m_holder = m_ranks.begin()->first;
+}
+
+void map_controller::note(std::string what)
+{
+    m_actions.emplace_back(map_note { std::move(what) });
+}
+
+} // namespace figcleat::group
--- a/src/group/planner.cc
+++ b/src/group/planner.cc
@@ -45,16 +45,21 @@
 class layer_state
 {
 public:
-    layer_state(const layer_load &load, const layer_map &map, const plan_limits &limits, rank_number ranks)
+    /** @param present what the ranks hold now; `map` is where the changes begin. */
+    layer_state(const layer_load &load, const layer_map &present, const layer_map &map, const plan_limits &limits,
+                rank_number ranks)
         : m_load(load.tokensPerSecond)
         , m_limits(limits)
+        , m_present(present)
         , m_holders(map.replicas)
         , m_held(ranks)
+        , m_loads(ranks, 0)
         , m_rank(rankLoads(load, map, limits, ranks))
     {
         for (std::uint32_t expert = 0; expert < m_holders.size(); ++expert) {
             for (const auto rank : m_holders[expert]) {
                 m_held[rank].push_back(expert);
+                m_loads[rank] += isLoaded(expert, rank) ? 0 : 1;
             }
         }
     }
@@ -85,6 +90,14 @@
     {
         return std::find(m_held[rank].begin(), m_held[rank].end(), expert) != m_held[rank].end();
     }
+    [[nodiscard]] bool isLoaded(std::uint32_t expert, rank_number rank) const
+    {
+        return std::binary_search(m_present.replicas[expert].begin(), m_present.replicas[expert].end(), rank);
+    }
+    [[nodiscard]] bool mayLoad(std::uint32_t expert, rank_number rank) const
+    {
+        return m_limits.loadsPerRank == 0 || isLoaded(expert, rank) || m_loads[rank] < m_limits.loadsPerRank;
+    }
     [[nodiscard]] bool hasFreeSlot(rank_number rank) const
     {
         return m_held[rank].size() < m_limits.slotsPerRank;
@@ -100,8 +113,11 @@
 
     const std::vector<double> &m_load;
     const plan_limits &m_limits;
+    const layer_map &m_present;
     std::vector<std::vector<rank_number>> m_holders;
     std::vector<std::vector<std::uint32_t>> m_held;
+    /** Experts that each rank has to load. */
+    std::vector<std::size_t> m_loads;
     std::vector<double> m_rank;
     double m_busiest = 0;
     std::vector<std::pair<rank_number, double>> m_scratch;
@@ -164,7 +180,7 @@
     const auto candidates = targets(top);
     for (const auto expert : m_held[top]) {
         for (const auto to : candidates) {
-            if (holds(to, expert)) {
+            if (holds(to, expert) || !mayLoad(expert, to)) {
                 continue;
             }
             for (const rank_number from : { noRank, top }) {
@@ -188,7 +204,7 @@
         if (m_holders[evicted].size() > 1) {
             tryChange(what, best, bestScore);
         }
-        if (what.from != noRank && !holds(what.from, evicted)) {
+        if (what.from != noRank && !holds(what.from, evicted) && mayLoad(evicted, what.from)) {
             what.exchange = true;
             tryChange(what, best, bestScore);
         }
@@ -240,12 +256,14 @@
     auto &holders = m_holders[expert];
     holders.insert(std::lower_bound(holders.begin(), holders.end(), rank), rank);
     m_held[rank].push_back(expert);
+    m_loads[rank] += isLoaded(expert, rank) ? 0 : 1;
 }
 
 void layer_state::removeHolder(std::uint32_t expert, rank_number rank)
 {
     std::erase(m_holders[expert], rank);
     std::erase(m_held[rank], expert);
+    m_loads[rank] -= isLoaded(expert, rank) ? 0 : 1;
 }
 
 /**
@@ -553,12 +571,25 @@
     return added;
 }
 
+/** No rank has to load more of the layer than it can at once. */
+bool loadsFit(const layer_map &from, const layer_map &to, const plan_limits &limits, rank_number ranks)
+{
+    std::vector<std::size_t> loads(ranks, 0);
+    for (std::size_t expert = 0; expert < to.replicas.size(); ++expert) {
+        const auto &before = from.replicas[expert];
+        for (const auto rank : to.replicas[expert]) {
+            loads[rank] += std::binary_search(before.begin(), before.end(), rank) ? 0 : 1;
+        }
+    }
+    return limits.loadsPerRank == 0 || *std::max_element(loads.begin(), loads.end()) <= limits.loadsPerRank;
+}
+
 /** Follows the best changes from one starting point; returns the load of the busiest rank at the end. */
-double follow(layer_plan &plans, const layer_load &load, const layer_map &start, std::size_t loaded,
-              const layer_gain &gain, const plan_limits &limits, rank_number ranks)
+double follow(layer_plan &plans, const layer_load &load, const layer_map &present, const layer_map &start,
+              std::size_t loaded, const layer_gain &gain, const plan_limits &limits, rank_number ranks)
 {
     const std::size_t most = loaded == 0 ? limits.changesPerLayer : changesAfterRepack;
-    layer_state state(load, start, limits, ranks);
+    layer_state state(load, present, start, limits, ranks);
     starting_point followed { start, {} };
     trade_point point { plans.starts.size(), 0, loaded, gain(state.busiest()) };
     plans.points.push_back(point);
@@ -584,13 +615,13 @@
     layer_plan result;
     const auto before = rankLoads(load, map, limits, ranks);
     const layer_gain gain(*std::max_element(before.begin(), before.end()), total, load, limits);
-    const double reached = follow(result, load, map, 0, gain, limits, ranks);
+    const double reached = follow(result, load, map, map, 0, gain, limits, ranks);
     const double mean = std::accumulate(load.tokensPerSecond.begin(), load.tokensPerSecond.end(), 0.0) / ranks;
     if (reached > mean * nearlyEven) {
         for (const double tolerance : { 0.0, keepTolerance }) {
             const auto packed = repacking(load, map, limits, ranks, tolerance).run();
-            if (!packed.replicas.empty()) {
-                follow(result, load, packed, addedReplicas(map, packed), gain, limits, ranks);
+            if (!packed.replicas.empty() && loadsFit(map, packed, limits, ranks)) {
+                follow(result, load, map, packed, addedReplicas(map, packed), gain, limits, ranks);
             }
         }
     }
@@ -679,7 +710,7 @@
     for (std::size_t layer = 0; layer < loads.size(); ++layer) {
         const auto &chosen = plans[layer].hull[plans[layer].taken];
         const auto &start = plans[layer].starts[chosen.start];
-        layer_state state(loads[layer], start.map, limits, map.ranks);
+        layer_state state(loads[layer], map.layers[layer], start.map, limits, map.ranks);
         for (std::size_t i = 0; i < chosen.changes; ++i) {
             state.apply(start.changes[i]);
         }
