--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -185,7 +185,7 @@
 {
     constexpr int okStatus = 200;
     m_readsStatus = false;
-    if (m_watches == 30 || m_watches == 90) { logger()->info("RAW status={} {}", status, body); }
+    if (m_watches % 7 == 0) { logger()->info("RAW status={} {}", status, body); }
     if (status != okStatus) {
         return;
     }
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -272,6 +272,9 @@
 
 void map_controller::sendToUnsettled()
 {
+    if (m_phase == phase::idle || m_phase == phase::switching) {
+        return;
+    }
     for (auto &[number, rank] : m_ranks) {
         const bool isDue = rank.sentAt == time_point {} || m_now - rank.sentAt >= orderTimeout;
         const bool isLoading = m_phase == phase::preparing && rank.confirmed;
