--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -185,7 +185,6 @@
 {
     constexpr int okStatus = 200;
     m_readsStatus = false;
-    if (m_watches % 7 == 0) { logger()->info("RAW status={} {}", status, body); }
     if (status != okStatus) {
         return;
     }
@@ -217,7 +216,6 @@
         return;
     }
     call(m_dialect->expertsCall(true), [this](int /*status*/, const std::string &body) {
-        logger()->info("RAW lists {}", body.substr(0, 600));
         m_readsLists = false;
         if (const auto decoded = m_dialect->decodeLists(body, *m_status); !decoded) {
             logger()->warn("event=lists_unreadable reason={}", decoded.error().detail);
@@ -230,7 +228,6 @@
 void agent_node::readChosen()
 {
     call(m_dialect->expertsCall(false), [this](int /*status*/, const std::string &body) {
-        if (m_watches % 20 == 0) { logger()->info("RAW picked {}", body.substr(0, 900)); }
         if (const auto decoded = m_dialect->decodeChosen(body, m_status->experts.size(), *m_status); !decoded) {
             logger()->warn("event=choices_unreadable reason={}", decoded.error().detail);
         }
