--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -450,7 +450,7 @@
     limits.bytesPerExpert = model.bytesPerExpert;
     // Ranks load at the same time, so that a replica takes its part of the group's time.
     limits.storeBytesPerSecond = { model.loadBytesPerSecond.count * m_size };
-    limits.storePrice = 1;
+    limits.storePrice = 8;
     limits.loadingSlowdown = loadingSlowdown;
     limits.expertShare = model.expertShare;
     limits.lifetime = mapLifetime;
