Load one new expert a rank and set in one switch of maps

Cause: demand shifts every 3 s, and two new experts of three sets take 0.85 s to load, one takes 0.43 s.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -26,7 +26,7 @@
 constexpr std::uint64_t firstStepMargin = 3;
 constexpr std::uint64_t maxStepMargin = 48;
 /** New experts of a rank and set in one switch; more take longer to load than demand stays. */
-constexpr std::size_t loadsPerSwitch = 2;
+constexpr std::size_t loadsPerSwitch = 1;
 /** Time for which a map is taken to be of use; demand shifts every few seconds. */
 constexpr duration mapLifetime = std::chrono::seconds(4);
 /** Share of the step time that loading costs while it lasts (platform's description of its engines). */
