--- /dev/null
+++ b/test/map-controller-test.cc
@@ -0,0 +1,330 @@
+#include "figcleat/group/map-controller.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <random>
+
+using namespace figcleat;
+using namespace figcleat::group;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr rank_number ranks = 4;
+constexpr std::size_t experts = 8;
+constexpr std::size_t sets = 2;
+
+group_model makeModel()
+{
+    group_model model;
+    model.sets = sets;
+    model.experts = experts;
+    model.placements = 4;
+    model.spare = 2;
+    model.bytesPerExpert = { 1000 };
+    model.loadBytesPerSecond = { 100'000 };
+    model.expertShare = 0.85;
+    return model;
+}
+
+/** A rank as the platform describes it: it loads, arms and holds on orders, some of them carried out late. */
+struct fake_rank
+{
+    engine_rank_status status;
+    std::map<std::uint64_t, expert_lists> maps;
+    std::uint64_t highestVersion = 0;
+    step_number armedStep;
+
+    [[nodiscard]] order_result carryOut(const rank_order &order, step_number groupStep)
+    {
+        if (order.epoch != status.epoch || order.expectedOrders != status.orders) {
+            return order_result::refused;
+        }
+        switch (order.operation) {
+        case rank_operation::prepare:
+            if (order.version.value <= highestVersion || status.armed.value != 0) {
+                return order_result::refused;
+            }
+            highestVersion = order.version.value;
+            for (const auto &set : order.map) {
+                maps[highestVersion].push_back(set[status.rank]);
+            }
+            status.prepared = order.version;
+            ++status.orders;
+            return order_result::accepted;
+        case rank_operation::arm:
+            if (status.prepared != order.version || groupStep >= order.step) {
+                return order_result::refused;
+            }
+            status.armed = order.version;
+            armedStep = order.step;
+            return order_result::accepted;
+        case rank_operation::disarm:
+            if (status.armed != order.version) {
+                return order_result::refused;
+            }
+            status.armed = {};
+            return order_result::accepted;
+        case rank_operation::hold:
+            if (groupStep >= order.step || status.held.value != 0) {
+                return order_result::refused;
+            }
+            status.held = order.step;
+            return order_result::accepted;
+        case rank_operation::go:
+            if (status.held != order.step) {
+                return order_result::refused;
+            }
+            status.held = {};
+            return order_result::accepted;
+        }
+        return order_result::refused;
+    }
+
+    void begin(step_number step)
+    {
+        status.step = step;
+        if (status.armed.value != 0 && step >= armedStep) {
+            status.map = status.armed;
+            status.experts = maps[status.map.value];
+            status.armed = {};
+            status.prepared = {};
+        }
+    }
+};
+
+/** A group of ranks in lock-step, whose first experts are in demand. */
+class fake_group
+{
+public:
+    explicit fake_group(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (rank_number rank = 0; rank < ranks; ++rank) {
+            fake_rank one;
+            one.status.group = { "g" };
+            one.status.epoch = { 1 };
+            one.status.rank = rank;
+            one.status.ranks = ranks;
+            one.status.isOpen = true;
+            one.status.chosen = expert_lists(sets, std::vector<std::uint32_t>(experts, 0));
+            for (std::size_t set = 0; set < sets; ++set) {
+                one.status.experts.push_back({ rank, static_cast<std::uint32_t>(rank + ranks) });
+            }
+            m_ranks.push_back(std::move(one));
+        }
+    }
+
+    /** Begins the next step if no rank holds it; every rank must then use one map. */
+    void beginStep()
+    {
+        const step_number next = m_step.next();
+        for (const auto &one : m_ranks) {
+            if (one.status.held.value != 0 && next >= one.status.held) {
+                return;
+            }
+        }
+        m_step = next;
+        for (auto &one : m_ranks) {
+            one.begin(next);
+            for (auto &set : one.status.chosen) {
+                set[m_hot] += 100;
+                set[m_hot + 1] += 10;
+            }
+        }
+        for (const auto &one : m_ranks) {
+            REQUIRE(one.status.map == m_ranks.front().status.map);
+        }
+    }
+
+    void shiftDemand()
+    {
+        m_hot = (m_hot + 3) % (experts - 1);
+    }
+
+    [[nodiscard]] std::vector<fake_rank> &members()
+    {
+        return m_ranks;
+    }
+
+    [[nodiscard]] step_number currentStep() const
+    {
+        return m_step;
+    }
+
+    [[nodiscard]] bool isHeld() const
+    {
+        return std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto &one) { return one.status.held.value != 0; });
+    }
+
+    std::mt19937_64 &random()
+    {
+        return m_random;
+    }
+
+private:
+    std::mt19937_64 m_random;
+    std::vector<fake_rank> m_ranks;
+    step_number m_step;
+    std::size_t m_hot = 0;
+};
+
+/** Runs controllers against a group; a share of the orders gets no answer and is carried out late. */
+class world
+{
+public:
+    world(std::uint64_t seed, double lateShare)
+        : m_group(seed)
+        , m_lateShare(lateShare)
+    {
+        startController();
+    }
+
+    /** The next leader of the log; its versions are above those of its predecessors. */
+    void startController()
+    {
+        m_firstVersion += 1'000'000;
+        m_controller.emplace(map_controller_settings { makeModel(), m_firstVersion });
+        m_answers.clear();
+    }
+
+    void run(int ticks)
+    {
+        for (int i = 0; i < ticks; ++i) {
+            m_now += 10ms;
+            deliverLate();
+            if (i % 5 == 0) {
+                m_group.beginStep();
+            }
+            for (auto &answer : std::exchange(m_answers, {})) {
+                act(m_controller->step(answer, m_now));
+            }
+            if (i % 10 == 0) {
+                for (const auto &one : m_group.members()) {
+                    act(m_controller->step(rank_reported { one.status }, m_now));
+                }
+            }
+            act(m_controller->step(map_tick {}, m_now));
+        }
+    }
+
+    fake_group &group()
+    {
+        return m_group;
+    }
+
+    map_controller &controller()
+    {
+        return *m_controller;
+    }
+
+private:
+    struct late_order
+    {
+        rank_number rank = 0;
+        rank_order order;
+        time_point due {};
+    };
+
+    void act(const std::vector<map_action> &actions)
+    {
+        for (const auto &action : actions) {
+            const auto *sent = std::get_if<send_order>(&action);
+            if (sent == nullptr) {
+                continue;
+            }
+            auto &rank = m_group.members()[sent->rank];
+            if (std::uniform_real_distribution<double>(0, 1)(m_group.random()) < m_lateShare) {
+                const auto delay = std::chrono::milliseconds(m_group.random()() % 4000);
+                m_late.push_back({ sent->rank, sent->order, m_now + delay });
+                m_answers.push_back(order_answered { sent->rank, { sent->order.id, order_result::unknown } });
+                continue;
+            }
+            const auto result = rank.carryOut(sent->order, m_group.currentStep());
+            m_answers.push_back(order_answered { sent->rank, { sent->order.id, result } });
+        }
+    }
+
+    void deliverLate()
+    {
+        std::erase_if(m_late, [this](const late_order &late) {
+            if (late.due > m_now) {
+                return false;
+            }
+            (void)m_group.members()[late.rank].carryOut(late.order, m_group.currentStep());
+            return true;
+        });
+    }
+
+    fake_group m_group;
+    double m_lateShare;
+    time_point m_now { 100s };
+    std::uint64_t m_firstVersion = 0;
+    std::optional<map_controller> m_controller;
+    std::vector<map_event> m_answers;
+    std::vector<late_order> m_late;
+};
+
+} // namespace
+
+TEST_CASE("a skewed group gets a map that spreads the load", "[group][map]")
+{
+    world w(1, 0);
+    w.run(500);
+    CHECK(w.controller().switches() > 0);
+    CHECK(w.controller().skew() < 2.0);
+    CHECK_FALSE(w.group().isHeld());
+}
+
+TEST_CASE("no step begins with two maps when orders are carried out late", "[group][map]")
+{
+    // `fake_group::beginStep` checks the maps of every step.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        world w(seed, 0.4);
+        for (int round = 0; round < 6; ++round) {
+            w.run(200);
+            w.group().shiftDemand();
+        }
+        CHECK(w.controller().switches() > 0);
+        w.run(600);
+        CHECK_FALSE(w.group().isHeld());
+    }
+}
+
+TEST_CASE("a new controller finishes or undoes the switch of its predecessor", "[group][map]")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        INFO("seed " << seed);
+        world w(seed, seed % 2 == 0 ? 0.3 : 0.0);
+        for (int round = 0; round < 8; ++round) {
+            // Ends at any moment of a switch.
+            w.run(static_cast<int>(40 + w.group().random()() % 97));
+            w.group().shiftDemand();
+            w.startController();
+        }
+        w.run(800);
+        CHECK_FALSE(w.group().isHeld());
+        CHECK(w.controller().switches() > 0);
+    }
+}
+
+TEST_CASE("a rank that forms its group again starts over", "[group][map]")
+{
+    world w(3, 0);
+    w.run(300);
+    for (auto &one : w.group().members()) {
+        one.status.epoch = { 2 };
+        one.status.map = {};
+        one.status.prepared = {};
+        one.status.armed = {};
+        one.status.held = {};
+        one.highestVersion = 0;
+        one.status.experts.assign(sets, { one.status.rank, static_cast<std::uint32_t>(one.status.rank + ranks) });
+    }
+    const auto before = w.controller().switches();
+    w.group().shiftDemand();
+    w.run(400);
+    CHECK(w.controller().switches() > before);
+}
