Release a hold again that was carried out late

Cause: an order without an answer may be carried out seconds later. A copy of a hold that lands after the release, but before the step begins, held the group for good: neither hold nor go changes the count of orders that guards the others. Change: while the ranks are to switch, a reported hold is released again; every rank is armed then, so all switch.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -377,7 +377,11 @@
 void map_controller::checkTimeouts()
 {
     const duration since = m_now - m_since;
-    if (m_phase == phase::preparing && since >= prepareTimeout) {
+    if (m_phase == phase::switching && since >= orderTimeout && isHeld()) {
+        // A copy of the hold was carried out late, after the release; every rank is armed.
+        note(fmt::format("releases_again=1 version={} step={}", m_version.value, m_step.value));
+        releaseHold();
+    } else if (m_phase == phase::preparing && since >= prepareTimeout) {
         note(fmt::format("abandoned=1 version={} reason=prepare_timeout", m_version.value));
         enter(phase::idle);
     } else if (m_phase == phase::switching && since >= switchTimeout && isClean()) {
