Share load among fronts; bound requests at a target by the pauses in streams

Change: fronts tell each other what they have at each target; one prompt at a time is read at a target; the number of requests at a target follows the pauses that streams show (additive increase, multiplicative decrease); requests wait up to 0.4 of their objective; agents report as soon as a map is loaded.

--- a/include/figcleat/daemon/agent-node.h
+++ b/include/figcleat/daemon/agent-node.h
@@ -76,6 +76,9 @@
     bool m_readsStatus = false;
     bool m_readsLists = false;
     std::uint64_t m_watches = 0;
+    /** Map that the rank loads; 0 for none. */
+    group::map_version m_loading {};
+    time_point m_reportedAt {};
     std::uint64_t m_term = 0;
 };
 
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -60,6 +60,8 @@
     void apply(const agreed::configuration_in_force &configuration);
     void poll();
     void tick();
+    /** Tells the other fronts what this one has at targets, if that has changed or some time has passed. */
+    void shareLoad();
     void stopIfDone();
     void step(const forward::forward_event &event);
 
@@ -100,6 +102,11 @@
     std::map<attempt_number, open_attempt> m_attempts;
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
+    std::vector<peer_address> m_otherFronts;
+    std::vector<forward::target_use> m_sharedLoad;
+    std::uint64_t m_loadSequence = 0;
+    time_point m_loadSharedAt {};
+    event *m_shareLater = nullptr;
 };
 
 } // namespace figcleat
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -100,7 +100,7 @@
                    summary_query, summary_answer, distribution::heartbeat, distribution::fetch_configuration,
                    distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message,
                    forward::node_poll, forward::node_update, forward::rank_report, forward::rank_command,
-                   forward::rank_result>;
+                   forward::rank_result, forward::node_load>;
 
 struct envelope
 {
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figcleat/forward/event-splitter.h"
+#include "figcleat/forward/pace-controller.h"
 #include "figcleat/forward/target-pool.h"
 #include "figcleat/http/server.h"
 #include "figcleat/request/retry-budget.h"
@@ -237,6 +238,8 @@
     [[nodiscard]] target_pool &pool();
     [[nodiscard]] std::size_t requestsInProgress() const;
     [[nodiscard]] bool hasRoutes() const;
+    /** Requests that may be at one target of a service that answers with streams; 0 if it has had none. */
+    [[nodiscard]] double level(const service_id &service) const;
 
 private:
     struct attempt_state
@@ -247,6 +250,8 @@
         time_point lastProgress {};
         std::optional<answer_head> head;
         std::string body;
+        /** The target has not sent the first event of a stream. */
+        bool readsPrompt = false;
     };
 
     struct request_state
@@ -293,13 +298,15 @@
     void placeWaiting();
     void checkDeadline(exchange_id exchange, request_state &state);
     void checkSilence(exchange_id exchange, request_state &state);
+    void pace();
+    [[nodiscard]] choice_limits limitsFor(const request_state &state) const;
     [[nodiscard]] bool mayRunAgain(const request_state &state) const;
     [[nodiscard]] bool isIdempotent(const request_state &state) const;
     [[nodiscard]] bool takeRepeat(const service_id &service);
     /** Ends the current attempt and goes on elsewhere if that is allowed, else ends the request. */
     void retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code);
     void endAttempt(request_state &state, attempt_result result);
-    void passEvents(exchange_id exchange, request_state &state, const attempt_state &attempt, std::string_view bytes);
+    void passEvents(exchange_id exchange, request_state &state, std::string_view bytes);
     void finishAnswer(exchange_id exchange, request_state &state, answer_head head, std::string body);
     void giveUp(exchange_id exchange, request_state &state, result_code code);
     void refuse(exchange_id exchange, const request_state &state, const refusal &why);
@@ -319,6 +326,8 @@
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
     std::map<service_id, request::retry_budget> m_budgets;
+    /** Of services that answer with streams. */
+    std::map<service_id, pace_controller> m_paces;
     std::vector<forward_action> m_actions;
 };
 
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -51,8 +51,31 @@
     std::uint64_t term = 0;
     /** Nodes that forward requests and have polled lately. */
     std::uint32_t fronts = 0;
+    /** Their mailboxes; only for fronts. */
+    std::vector<peer_address> frontAddresses;
 
-    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts)
+    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts, frontAddresses)
+};
+
+/** Requests of one node at one target. */
+struct target_use
+{
+    target_id target {};
+    std::uint32_t requests = 0;
+    /** Requests among them whose prompt is still being read. */
+    std::uint32_t prompts = 0;
+
+    bool operator==(const target_use &) const = default;
+    MSGPACK_DEFINE(target, requests, prompts)
+};
+
+/** What a node has at targets, for the other nodes that forward; replaces its earlier messages. */
+struct node_load
+{
+    std::uint64_t sequence = 0;
+    std::vector<target_use> uses;
+
+    MSGPACK_DEFINE(sequence, uses)
 };
 
 /** State of the rank beside an agent, for the leader of the replicated log. */
--- /dev/null
+++ b/include/figcleat/forward/pace-controller.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "figcleat/core/clock.h"
+
+#include <vector>
+
+namespace figcleat::forward
+{
+
+/**
+ * Bounds the requests at each target of a service so that the pauses within streams stay below their limit.
+ *
+ * Engines take more time for a step the more requests run, and the ranks of a group advance together, so the pauses
+ * that one node sees in its own streams tell of all targets of the service. Additive increase, multiplicative decrease.
+ */
+class pace_controller
+{
+public:
+    /** A pause between two events of one stream; `limit` is the longest that is still in time. */
+    void onPause(duration pause, duration limit, time_point now);
+    /** To be called on a period; `busiest` is the highest number of requests at one target. */
+    void tick(std::uint32_t slots, double busiest, time_point now);
+
+    /** Requests that may be at one target. */
+    [[nodiscard]] double level() const;
+
+private:
+    double m_level = 0;
+    std::uint32_t m_slots = 0;
+    /** Pauses since the last tick, as parts of their limits. */
+    std::vector<double> m_pauses;
+    time_point m_lastCut {};
+    time_point m_lastTick {};
+};
+
+} // namespace figcleat::forward
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "figcleat/forward/node-messages.h"
 #include "figcleat/forward/route-table.h"
 #include "figcleat/forward/target-directory.h"
 
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -36,12 +38,23 @@
 {
     data_centre_id dataCentre;
     /** A registration says the slots; this many more requests than slots may be at a target. */
-    std::uint32_t waitingPerTarget = 2;
+    std::uint32_t waitingPerTarget = 1;
+    /** Requests whose prompt is being read at a target at the same time; each delays every stream of the group. */
+    std::uint32_t promptsPerTarget = 1;
     /** Share of the limits over all nodes that the nodes use, for a node that has not been counted yet. */
     double limitShare = 0.8;
     std::uint64_t seed = 1;
 };
 
+/** What a request asks of its target. */
+struct choice_limits
+{
+    /** Requests that may be at the target; 0 for no limit but its slots. */
+    double level = 0;
+    /** The request has a prompt, and streams in progress wait while it is read. */
+    bool readsPrompt = false;
+};
+
 /**
  * Chooses targets and bounds what this node sends to each.
  *
@@ -65,12 +78,20 @@
      * Codes: `no_target` if none is known and usable, `target_at_limit` if those that are usable have no room.
      */
     [[nodiscard]] expected<directory_entry> choose(const service_id &service, const std::set<target_id> &excluded,
-                                                   time_point now);
+                                                   const choice_limits &limits, time_point now);
     /** True if `target` may still get requests: ready, its data centre in service. */
     [[nodiscard]] bool isOpen(const directory_entry &entry) const;
 
-    void onStarted(const target_id &target);
-    void onEnded(const target_id &target, attempt_result result, time_point now);
+    /** @param readsPrompt the target reads a prompt until `onProgress` */
+    void onStarted(const target_id &target, bool readsPrompt);
+    /** What another node has at targets. */
+    void setPeerLoad(const peer_address &peer, const node_load &load, time_point now);
+    /** What this node has at targets. */
+    [[nodiscard]] std::vector<target_use> ownLoad() const;
+    /** @param readsPrompt there was no `onProgress` with the prompt read */
+    void onEnded(const target_id &target, attempt_result result, bool readsPrompt, time_point now);
+    /** The target has read a prompt. */
+    void onPromptRead(const target_id &target);
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
     void onLoad(const target_id &target, const target_load &load, time_point now);
@@ -81,12 +102,19 @@
     [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
     /** Requests at targets of the service, and the places that they have. */
     [[nodiscard]] target_load totalLoad(const service_id &service, time_point now) const;
+    /** Most requests at one target of the service, and the slots of one. */
+    [[nodiscard]] std::pair<double, std::uint32_t> busiest(const service_id &service, time_point now) const;
     void forgetUnknown();
 
 private:
     struct target_record
     {
         std::uint32_t inFlight = 0;
+        /** Requests of this node whose prompt is being read. */
+        std::uint32_t prompts = 0;
+        /** The same of other nodes, as they said last. */
+        std::uint32_t peerRequests = 0;
+        std::uint32_t peerPrompts = 0;
         /** Requests of other nodes at the target as last reported, and when. */
         std::uint32_t others = 0;
         time_point othersAt {};
@@ -101,7 +129,9 @@
     };
 
     [[nodiscard]] double load(const target_record &record, time_point now) const;
-    [[nodiscard]] bool hasRoom(const directory_entry &entry, target_record &record, time_point now) const;
+    [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
+                               time_point now) const;
+    void sumPeers(time_point now);
     [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
     /** A cold target bears a bounded rate of requests; refills the tokens of this node's share. */
     [[nodiscard]] bool hasColdToken(const directory_entry &entry, target_record &record, time_point now) const;
@@ -114,6 +144,13 @@
     std::uint32_t m_nodes;
     std::unordered_map<target_id, target_record> m_records;
     std::mt19937_64 m_random;
+    struct peer_record
+    {
+        node_load load;
+        time_point heard {};
+    };
+    std::map<peer_address, peer_record> m_peers;
+    bool m_hasPeers = false;
 };
 
 } // namespace figcleat::forward
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -14,7 +14,9 @@
 /** Period of reports; a leader needs them fresh for a switch of maps. */
 constexpr duration watchPeriod = std::chrono::milliseconds(200);
 /** Choices are read with every so many reports; demand shifts within seconds. */
-constexpr std::uint64_t watchesPerRead = 2;
+constexpr std::uint64_t watchesPerRead = 1;
+/** While the rank loads experts, the leader waits for the end. */
+constexpr duration loadingWatchPeriod = std::chrono::milliseconds(50);
 constexpr duration coordinatorSilence = std::chrono::milliseconds(2500);
 /** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
 constexpr duration engineTimeout = std::chrono::milliseconds(120);
@@ -66,6 +68,11 @@
         = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
     m_loop->every(pollPeriod, [this] { poll(); });
     m_loop->every(watchPeriod, [this] { watch(); });
+    m_loop->every(loadingWatchPeriod, [this] {
+        if (m_loading != group::map_version {}) {
+            readStatus();
+        }
+    });
     poll();
     return {};
 }
@@ -151,6 +158,9 @@
                        status, result == group::order_result::refused ? body : "");
         m_messenger->send(m_links.leader(coordinatorSilence, m_time->now()),
                           forward::rank_result { m_status->group, m_status->rank, { order.id, result } });
+        if (order.operation == group::rank_operation::prepare && result == group::order_result::accepted) {
+            m_loading = order.version;
+        }
         readStatus();
     });
 }
@@ -201,6 +211,13 @@
         next.experts = m_status->experts;
     }
     m_status = std::move(next);
+    if (m_loading != group::map_version {}) {
+        const bool isLoading = m_status->prepared < m_loading && m_status->isOpen;
+        if (isLoading && m_time->now() - m_reportedAt < watchPeriod) {
+            return;
+        }
+        m_loading = isLoading ? m_loading : group::map_version {};
+    }
     if (m_status->experts.empty()) {
         readLists();
     } else if (m_watches % watchesPerRead == 0) {
@@ -238,7 +255,8 @@
 
 void agent_node::report()
 {
-    const auto leader = m_links.leader(coordinatorSilence, m_time->now());
+    m_reportedAt = m_time->now();
+    const auto leader = m_links.leader(coordinatorSilence, m_reportedAt);
     if (!leader.empty()) {
         m_messenger->send(leader, forward::rank_report { *m_status });
     }
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -28,6 +28,8 @@
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
 constexpr std::size_t maxGroups = 256;
+/** Fronts that share their load with each other; more would cost more messages than a node may send. */
+constexpr std::size_t maxFrontsNamed = 64;
 /** Versions of maps in one term; a later term begins above all versions of an earlier one. */
 constexpr std::uint64_t versionsPerTerm = 1'000'000;
 
@@ -318,6 +320,9 @@
     for (const auto &[address, one] : m_subscribers) {
         const bool counts = one.role == forward::node_role::front && m_time->now() - one.heard < subscriberSilence;
         message.fronts += counts ? 1 : 0;
+        if (counts && who.role == forward::node_role::front && message.frontAddresses.size() < maxFrontsNamed) {
+            message.frontAddresses.push_back(address);
+        }
     }
     who.directoryVersion = message.directoryVersion;
     who.revision = std::max(who.revision, held.revision);
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -17,6 +17,8 @@
 constexpr duration tickPeriod = std::chrono::milliseconds(25);
 /** A coordinator that has not answered for this long is taken for lost. */
 constexpr duration coordinatorSilence = std::chrono::seconds(2);
+/** Unchanged load is told again after this time, so that others know it is still true. */
+constexpr duration loadPeriod = std::chrono::milliseconds(250);
 /** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
  */
 constexpr duration connectTimeout = std::chrono::milliseconds(250);
@@ -125,6 +127,7 @@
         }
         m_readiness = std::move(*readiness);
     }
+    m_shareLater = m_loop->deferred([this] { shareLoad(); });
     m_loop->every(tickPeriod, [this] { tick(); });
     m_loop->every(pollPeriod, [this] { poll(); });
     poll();
@@ -196,11 +199,13 @@
 
 void front_node::receive(const envelope &received)
 {
-    std::visit(overloaded {
-                   [&](const forward::node_update &update) { onUpdate(received, update); },
-                   [](const auto &) {},
-               },
-               received.message);
+    std::visit(
+        overloaded {
+            [&](const forward::node_update &update) { onUpdate(received, update); },
+            [&](const forward::node_load &load) { m_forwarder.pool().setPeerLoad(received.from, load, m_time->now()); },
+            [](const auto &) {},
+        },
+        received.message);
 }
 
 void front_node::onUpdate(const envelope &received, const forward::node_update &update)
@@ -217,6 +222,10 @@
     for (const auto &one : update.configuration) {
         apply(one);
     }
+    if (!update.frontAddresses.empty()) {
+        m_otherFronts = update.frontAddresses;
+        std::erase(m_otherFronts, m_messenger->self());
+    }
     if (const auto fronts = m_links.fronts(coordinatorSilence, now); fronts > 0) {
         m_forwarder.setNodeCount(fronts);
     }
@@ -257,10 +266,26 @@
     }
 }
 
+void front_node::shareLoad()
+{
+    const time_point now = m_time->now();
+    auto uses = m_forwarder.pool().ownLoad();
+    if (uses == m_sharedLoad && now - m_loadSharedAt < loadPeriod) {
+        return;
+    }
+    m_sharedLoad = std::move(uses);
+    m_loadSharedAt = now;
+    ++m_loadSequence;
+    for (const auto &other : m_otherFronts) {
+        m_messenger->send(other, forward::node_load { m_loadSequence, m_sharedLoad });
+    }
+}
+
 void front_node::tick()
 {
     m_messenger->tick();
     step(forward::forward_tick {});
+    shareLoad();
     stopIfDone();
 }
 
@@ -286,6 +311,7 @@
     for (auto &action : m_forwarder.step(event, m_time->now())) {
         std::visit([this](auto &what) { carryOut(what); }, action);
     }
+    loop::trigger(m_shareLater);
 }
 
 http_client *front_node::clientFor(const std::string &address)
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -15,7 +15,7 @@
 /** Part of the repeats over all nodes that the nodes use together; the rest covers counts that are out of date. */
 constexpr double budgetUse = 0.7;
 /** A request waits for room for this part of its objective; a later answer would hardly be in time. */
-constexpr int waitParts = 8;
+constexpr double waitShare = 0.4;
 /** Attempts that no target ran, for example because it was full; the route's `attempts` bounds the others. */
 constexpr std::uint32_t maxSends = 4;
 /** Silence in a stream or before an answer after which an idempotent request goes elsewhere, in objectives. */
@@ -130,7 +130,8 @@
     }
     const milliseconds patience = std::min(state.where->timeout, request.deadline.value_or(state.where->timeout));
     state.deadline = m_now + patience;
-    state.waitUntil = m_now + std::min(patience, state.where->objective) / waitParts;
+    const auto wait = waitShare * std::chrono::duration<double>(std::min(patience, state.where->objective));
+    state.waitUntil = m_now + std::chrono::duration_cast<duration>(wait);
     return std::nullopt;
 }
 
@@ -156,10 +157,11 @@
         giveUp(exchange, state, result_code::deadline_too_near);
         return;
     }
-    auto target = m_pool.choose(state.service, state.tried, m_now);
+    const auto limits = limitsFor(state);
+    auto target = m_pool.choose(state.service, state.tried, limits, m_now);
     if (!target && target.error().code == result_code::no_target && !state.tried.empty() && isIdempotent(state)) {
         // All others are unusable; the one that failed is better than none.
-        target = m_pool.choose(state.service, { state.lastTarget }, m_now);
+        target = m_pool.choose(state.service, { state.lastTarget }, limits, m_now);
     }
     if (target) {
         startAttempt(exchange, state, *target);
@@ -185,8 +187,9 @@
     attempt.target = target.what.target;
     attempt.startedAt = m_now;
     attempt.lastProgress = m_now;
+    attempt.readsPrompt = state.where->kind == route_kind::stream;
+    m_pool.onStarted(target.what.target, attempt.readsPrompt);
     m_attempts.emplace(m_lastAttempt, std::move(attempt));
-    m_pool.onStarted(target.what.target);
     outgoing_call call;
     call.request = state.request;
     call.target = target.what.target;
@@ -198,6 +201,31 @@
     m_actions.emplace_back(start_attempt { m_lastAttempt, std::move(call) });
 }
 
+choice_limits forwarder::limitsFor(const request_state &state) const
+{
+    if (state.where->kind != route_kind::stream) {
+        return {};
+    }
+    const auto pace = m_paces.find(state.service);
+    return { pace == m_paces.end() ? 0 : pace->second.level(), true };
+}
+
+double forwarder::level(const service_id &service) const
+{
+    const auto pace = m_paces.find(service);
+    return pace == m_paces.end() ? 0 : pace->second.level();
+}
+
+void forwarder::pace()
+{
+    for (auto &[service, pace] : m_paces) {
+        const auto [busiest, slots] = m_pool.busiest(service, m_now);
+        if (slots > 0) {
+            pace.tick(slots, busiest, m_now);
+        }
+    }
+}
+
 void forwarder::placeWaiting()
 {
     const std::size_t count = m_waiting.size();
@@ -231,7 +259,7 @@
 {
     const auto found = m_attempts.find(std::exchange(state.current, {}));
     if (found != m_attempts.end()) {
-        m_pool.onEnded(found->second.target, result, m_now);
+        m_pool.onEnded(found->second.target, result, found->second.readsPrompt, m_now);
         m_attempts.erase(found);
     }
 }
@@ -311,12 +339,18 @@
         return;
     }
     auto &attempt = found->second;
-    attempt.lastProgress = m_now;
+    const duration pause = m_now - std::exchange(attempt.lastProgress, m_now);
     m_pool.onProgress(attempt.target, m_now);
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
     if (state.streaming && attempt.head->isEventStream) {
-        passEvents(exchange, state, attempt, event.bytes);
+        auto &pace = m_paces[state.service];
+        if (std::exchange(attempt.readsPrompt, false)) {
+            m_pool.onPromptRead(attempt.target);
+        } else {
+            pace.onPause(pause, state.where->maxGap, m_now);
+        }
+        passEvents(exchange, state, event.bytes);
         return;
     }
     attempt.body += event.bytes;
@@ -328,8 +362,7 @@
     }
 }
 
-void forwarder::passEvents(exchange_id exchange, request_state &state, const attempt_state & /*attempt*/,
-                           std::string_view bytes)
+void forwarder::passEvents(exchange_id exchange, request_state &state, std::string_view bytes)
 {
     std::string whole = state.events.push(bytes);
     if (!whole.empty()) {
@@ -402,6 +435,7 @@
 
 void forwarder::handle(const forward_tick & /*event*/)
 {
+    pace();
     placeWaiting();
     std::vector<exchange_id> open;
     open.reserve(m_requests.size());
--- /dev/null
+++ b/src/forward/pace-controller.cc
@@ -0,0 +1,67 @@
+#include "figcleat/forward/pace-controller.h"
+
+#include <algorithm>
+
+namespace figcleat::forward
+{
+
+namespace
+{
+
+/** Pauses are judged together for about two steps of a group. */
+constexpr duration judgedPeriod = std::chrono::milliseconds(150);
+/** A cut shows its effect once some of the running streams have ended. */
+constexpr duration cutPeriod = std::chrono::milliseconds(400);
+/** Parts of the longest allowed pause beyond which the level falls, and below which it may rise. */
+constexpr double cutAbove = 0.85;
+constexpr double raiseBelow = 0.7;
+constexpr double cutFactor = 0.85;
+/** Requests by which the level rises in each judged period. */
+constexpr double raiseStep = 0.3;
+/** Share of the pauses that lie below the judged one; a single slow connection decides nothing. */
+constexpr double judgedQuantile = 0.75;
+/** Even a slow group gets some requests, whose pauses show when it is fast again. */
+constexpr double minLevel = 2;
+constexpr std::size_t maxPauses = 4096;
+
+} // namespace
+
+void pace_controller::onPause(duration pause, duration limit, time_point /*now*/)
+{
+    if (limit > duration {} && m_pauses.size() < maxPauses) {
+        m_pauses.push_back(static_cast<double>(pause.count()) / static_cast<double>(limit.count()));
+    }
+}
+
+void pace_controller::tick(std::uint32_t slots, double busiest, time_point now)
+{
+    if (slots != m_slots) {
+        m_level = m_slots == 0 ? slots : std::min<double>(m_level, slots);
+        m_slots = slots;
+    }
+    if (now - m_lastTick < judgedPeriod) {
+        return;
+    }
+    m_lastTick = now;
+    if (m_pauses.empty()) {
+        m_level = std::min<double>(m_level + raiseStep, m_slots);
+        return;
+    }
+    const auto at = static_cast<std::ptrdiff_t>(judgedQuantile * static_cast<double>(m_pauses.size() - 1));
+    std::nth_element(m_pauses.begin(), m_pauses.begin() + at, m_pauses.end());
+    const double judged = m_pauses[static_cast<std::size_t>(at)];
+    m_pauses.clear();
+    if (judged > cutAbove && now - m_lastCut >= cutPeriod) {
+        m_lastCut = now;
+        m_level = std::max(minLevel, cutFactor * std::min(m_level, std::max(busiest, minLevel)));
+    } else if (judged < raiseBelow && busiest + 1 >= m_level) {
+        m_level = std::min<double>(m_level + raiseStep, m_slots);
+    }
+}
+
+double pace_controller::level() const
+{
+    return m_level;
+}
+
+} // namespace figcleat::forward
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -23,6 +23,8 @@
 constexpr std::uint32_t maxDoublings = 4;
 /** Load, in requests, that a target in another data centre must have less to be preferred. */
 constexpr double remotePenalty = 0.5;
+/** What another node said of its requests is out of date after this time; nodes speak every 250 ms. */
+constexpr duration peerSilence = std::chrono::milliseconds(900);
 /** A target that fails every request counts as full. */
 constexpr double failurePenaltySlots = 1.0;
 
@@ -67,25 +69,33 @@
 
 double target_pool::load(const target_record &record, time_point now) const
 {
+    if (m_hasPeers) {
+        return record.inFlight + record.peerRequests;
+    }
     const double age = std::max(0.0, secondsBetween(record.othersAt, now));
     const double others = record.others * std::exp2(-age / loadHalfLifeSeconds);
     return record.inFlight + others;
 }
 
-bool target_pool::hasRoom(const directory_entry &entry, target_record &record, time_point now) const
+bool target_pool::hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
+                          time_point now) const
 {
     // Half open after a block: one request at a time until one is answered.
     if (record.failuresInRow >= failuresToBlock && record.inFlight > 0) {
         return false;
     }
-    const auto *limits = m_routes ? m_routes->limitsOf(entry.what.service) : nullptr;
-    if (limits != nullptr && limits->maxConnections > 0) {
-        const auto share = static_cast<std::uint32_t>(m_settings.limitShare * limits->maxConnections / m_nodes);
+    const auto *service = m_routes ? m_routes->limitsOf(entry.what.service) : nullptr;
+    if (service != nullptr && service->maxConnections > 0) {
+        const auto share = static_cast<std::uint32_t>(m_settings.limitShare * service->maxConnections / m_nodes);
         if (record.inFlight >= std::max<std::uint32_t>(1, share)) {
             return false;
         }
     }
-    return load(record, now) < entry.what.slots + m_settings.waitingPerTarget;
+    if (limits.readsPrompt && record.prompts + record.peerPrompts >= m_settings.promptsPerTarget) {
+        return false;
+    }
+    const double most = limits.level > 0 ? limits.level : entry.what.slots + m_settings.waitingPerTarget;
+    return load(record, now) + 1 <= most;
 }
 
 double target_pool::score(const directory_entry &entry, const target_record &record, time_point now) const
@@ -108,8 +118,9 @@
 }
 
 expected<directory_entry> target_pool::choose(const service_id &service, const std::set<target_id> &excluded,
-                                              time_point now)
+                                              const choice_limits &limits, time_point now)
 {
+    sumPeers(now);
     const directory_entry *best = nullptr;
     double bestScore = 0;
     std::uint32_t ties = 0;
@@ -123,7 +134,7 @@
             continue;
         }
         anyUsable = true;
-        if (!hasRoom(entry, record, now) || !hasColdToken(entry, record, now)) {
+        if (!hasRoom(entry, record, limits, now) || !hasColdToken(entry, record, now)) {
             continue;
         }
         const double candidate = score(entry, record, now);
@@ -141,15 +152,61 @@
     return *best;
 }
 
-void target_pool::onStarted(const target_id &target)
+void target_pool::onStarted(const target_id &target, bool readsPrompt)
 {
     auto &record = m_records[target];
     record.inFlight += 1;
+    record.prompts += readsPrompt ? 1 : 0;
     record.coldTokens = std::max(0.0, record.coldTokens - 1.0);
 }
 
-void target_pool::onEnded(const target_id &target, attempt_result result, time_point now)
+void target_pool::onPromptRead(const target_id &target)
 {
+    auto &record = m_records[target];
+    record.prompts -= std::min<std::uint32_t>(1, record.prompts);
+}
+
+void target_pool::setPeerLoad(const peer_address &peer, const node_load &load, time_point now)
+{
+    auto &record = m_peers[peer];
+    // A lower sequence is a new life of the peer or a message that was overtaken; the next one decides.
+    record.load = load;
+    record.heard = now;
+}
+
+std::vector<target_use> target_pool::ownLoad() const
+{
+    std::vector<target_use> uses;
+    for (const auto &[id, record] : m_records) {
+        if (record.inFlight > 0) {
+            uses.push_back({ id, record.inFlight, record.prompts });
+        }
+    }
+    return uses;
+}
+
+void target_pool::sumPeers(time_point now)
+{
+    std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.heard > peerSilence; });
+    m_hasPeers = !m_peers.empty();
+    for (auto &[id, record] : m_records) {
+        record.peerRequests = 0;
+        record.peerPrompts = 0;
+    }
+    for (const auto &[peer, one] : m_peers) {
+        for (const auto &use : one.load.uses) {
+            auto &record = m_records[use.target];
+            record.peerRequests += use.requests;
+            record.peerPrompts += use.prompts;
+        }
+    }
+}
+
+void target_pool::onEnded(const target_id &target, attempt_result result, bool readsPrompt, time_point now)
+{
+    if (readsPrompt) {
+        onPromptRead(target);
+    }
     auto &record = m_records[target];
     record.inFlight -= std::min<std::uint32_t>(1, record.inFlight);
     switch (result) {
@@ -228,6 +285,21 @@
     return total;
 }
 
+std::pair<double, std::uint32_t> target_pool::busiest(const service_id &service, time_point now) const
+{
+    std::pair<double, std::uint32_t> most { 0, 0 };
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.what.service != service || !isOpen(entry)) {
+            continue;
+        }
+        most.second = std::max(most.second, entry.what.slots);
+        if (const auto record = m_records.find(id); record != m_records.end()) {
+            most.first = std::max(most.first, load(record->second, now));
+        }
+    }
+    return most;
+}
+
 void target_pool::forgetUnknown()
 {
     std::erase_if(m_records, [this](const auto &entry) {
