--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -28,9 +28,11 @@
 constexpr milliseconds resumeWait { 500 };
 /** With less time left a further attempt is of no use. */
 constexpr milliseconds minTimeLeft { 30 };
-/** Shortest and longest time after which a refused caller may come back. */
-constexpr milliseconds returnMin { 200 };
-constexpr milliseconds returnMax { 1000 };
+/** Callers honour a return time up to this part of the time that they have left. */
+constexpr int returnParts = 3;
+/** Earliest return, as a share of the latest: what was refused for want of room or targets needs time to pass. */
+constexpr double earliestReturn = 0.6;
+constexpr milliseconds unknownReturn { 1000 };
 constexpr int firstErrorStatus = 500;
 
 } // namespace
@@ -109,10 +111,10 @@
 std::optional<refusal> forwarder::admit(request_state &state, const caller_request &request)
 {
     if (!m_routes) {
-        return refusal { result_code::not_configured, false, returnMax };
+        return refusal { result_code::not_configured, false, unknownReturn };
     }
     if (m_requests.size() > maxRequests) {
-        return refusal { result_code::queue_full, false, returnMax };
+        return refusal { result_code::queue_full, false, unknownReturn };
     }
     state.routes = m_routes;
     state.where = m_routes->match(request.host, request.path);
@@ -507,13 +509,13 @@
     refuse(exchange, state, why);
 }
 
-/** Spreads the return of callers, within the third of their time that they honour. */
+/** Spreads the return of callers over the later part of the time that they honour. */
 milliseconds forwarder::returnTime(const request_state &state)
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(state.deadline - m_now);
-    const auto most = std::clamp(left / 3, milliseconds(0), returnMax);
-    const auto least = std::min(returnMin, most);
-    return milliseconds(std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random));
+    const auto left = std::chrono::duration<double, std::milli>(state.deadline - m_now).count();
+    const double latest = std::max(0.0, left) / returnParts;
+    std::uniform_real_distribution<double> spread(earliestReturn * latest, latest);
+    return milliseconds(static_cast<std::int64_t>(spread(m_random)));
 }
 
 void forwarder::refuse(exchange_id exchange, const request_state &state, const refusal &why)
