Follow shifts of demand faster

Cause: after each shift (every 3.2 s) the group runs with a skew of 2 to 3 for about a second: half of the counts are 0.6 s old, and the switch waits for three steps.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -12,7 +12,7 @@
 {
 
 /** Counts lose half of their weight in this time; demand shifts every few seconds. */
-constexpr double popularityHalfLifeSeconds = 0.6;
+constexpr double popularityHalfLifeSeconds = 0.35;
 /** Plans are made this often while nothing is under way. */
 constexpr duration planPeriod = std::chrono::milliseconds(300);
 /** A report that is older says too little of a rank to begin a switch. */
@@ -23,7 +23,7 @@
 constexpr duration prepareTimeout = std::chrono::seconds(6);
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
-constexpr std::uint64_t firstStepMargin = 3;
+constexpr std::uint64_t firstStepMargin = 2;
 constexpr std::uint64_t maxStepMargin = 48;
 /** New experts of a rank and set in one switch; more take longer to load than demand stays. */
 constexpr std::size_t loadsPerSwitch = 1;
