Tell fronts of slow and broken engines; call an engine whose agent is frozen

Change: release and arming go to the engine itself when its agent is silent; the leader tells fronts which engines are slow or in a broken group, and fronts forget failures when it is open again; plans weigh ranks by their pace; a block lasts 1 s at most.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -6,6 +6,7 @@
 #include "figcleat/daemon/node-links.h"
 #include "figcleat/forward/dialect.h"
 #include "figcleat/group/map-controller.h"
+#include "figcleat/http/client.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -18,7 +19,7 @@
  * A process with a data folder: takes operators' commands into the replicated log, and registrations of targets into a
  * directory that coordinators share and that fronts copy.
  */
-class coordinator_node : public http_handler
+class coordinator_node : public http_handler, public http_client_handler
 {
 public:
     [[nodiscard]] static expected<std::unique_ptr<coordinator_node>> open(const forward::node_settings &settings,
@@ -71,6 +72,17 @@
     /** True while this coordinator leads and no earlier leader can still act. */
     [[nodiscard]] bool mayOrder() const;
     void stepMaps(const group_id &group, const group::map_event &event);
+    /** Calls an engine whose agent does not answer. */
+    void orderDirectly(const group_id &group, const group::send_order &what);
+    void endDirectOrder(attempt_id attempt, group::order_result result);
+    /** Engines that are slow or whose group is broken; fronts are told of changes. */
+    void reviewEngines();
+
+    // http_client_handler, for orders to engines
+    void onAnswerStart(attempt_id attempt, int status, const http_headers &headers) override;
+    void onBytes(attempt_id attempt, std::string_view bytes) override;
+    void onAnswerEnd(attempt_id attempt) override;
+    void onFailure(attempt_id attempt, bool notSent) override;
     void applyRoutes();
     void publish();
     void update(const peer_address &to, subscriber &who);
@@ -97,6 +109,17 @@
         std::map<group::rank_number, peer_address> agents;
     };
     std::map<group_id, group_record> m_groups;
+    struct direct_order
+    {
+        group_id group;
+        group::rank_number rank = 0;
+        group::order_id order;
+        group::order_result result = group::order_result::unknown;
+    };
+    std::map<std::string, std::unique_ptr<http_client>> m_engineClients;
+    std::map<attempt_id, direct_order> m_directOrders;
+    attempt_number m_lastDirectOrder;
+    std::vector<forward::engine_condition> m_engines;
     std::map<service_id, group::group_model> m_models;
     std::optional<time_point> m_leadsSince;
     time_point m_lastTick {};
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -34,6 +34,20 @@
     MSGPACK_DEFINE(vm, role, coordinator, directoryVersion, revision)
 };
 
+/** A model engine that cannot be used like a sound one. */
+struct engine_condition
+{
+    /** "IP:port", as in the registration. */
+    std::string address;
+    /** False while its group is broken. */
+    bool isOpen = true;
+    /** Time that it takes for its work relative to a sound one. */
+    double pace = 1;
+
+    bool operator==(const engine_condition &) const = default;
+    MSGPACK_DEFINE(address, isOpen, pace)
+};
+
 /** What a coordinator knows; sent as the answer to a poll and at once when something changes. */
 struct node_update
 {
@@ -53,8 +67,13 @@
     std::uint32_t fronts = 0;
     /** Their mailboxes; only for fronts. */
     std::vector<peer_address> frontAddresses;
+    /** True if the sender leads the log and so hears the agents; then `engines` replaces earlier lists. */
+    bool knowsEngines = false;
+    /** Engines that are slow or whose group is broken. */
+    std::vector<engine_condition> engines;
 
-    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts, frontAddresses)
+    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts, frontAddresses,
+                   knowsEngines, engines)
 };
 
 /** Requests of one node at one target. */
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -69,6 +69,8 @@
     void setDirectory(const target_directory *directory);
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setEvacuated(std::set<data_centre_id> dataCentres);
+    /** Engines that are slow or whose group is broken; replaces the earlier list. */
+    void setEngines(const std::vector<engine_condition> &engines, time_point now);
     /** Nodes that send requests, this one included. */
     void setNodeCount(std::uint32_t nodes);
 
@@ -110,6 +112,10 @@
     struct target_record
     {
         std::uint32_t inFlight = 0;
+        /** The group of the target is broken. */
+        bool isBroken = false;
+        /** Time that the target takes for its work relative to a sound one. */
+        double pace = 1;
         /** Requests of this node whose prompt is being read. */
         std::uint32_t prompts = 0;
         /** The same of other nodes, as they said last. */
@@ -142,6 +148,7 @@
     std::shared_ptr<const route_index> m_routes;
     std::set<data_centre_id> m_evacuated;
     std::uint32_t m_nodes;
+    time_point m_enginesHeard {};
     std::unordered_map<target_id, target_record> m_records;
     std::mt19937_64 m_random;
     struct peer_record
--- a/include/figcleat/group/engine-rank.h
+++ b/include/figcleat/group/engine-rank.h
@@ -20,6 +20,8 @@
 struct engine_rank_status
 {
     service_id service {};
+    /** "IP:port" of the engine. */
+    std::string address {};
     group_id group {};
     /** Rises when the group forms again; the group then uses its first map, and nothing is prepared or armed. */
     epoch_number epoch {};
@@ -28,6 +30,8 @@
     rank_number ranks = 0;
     /** False while the group is broken. */
     bool isOpen = false;
+    /** Time that the rank takes for its work relative to a sound one. */
+    double pace = 1;
     /** Rises with each order that begins something. */
     std::uint64_t orders = 0;
     /** Last step that was begun. */
@@ -44,7 +48,7 @@
     /** How often each expert was chosen by this rank's requests since its start; empty if not read. */
     expert_lists chosen {};
 
-    MSGPACK_DEFINE(service, group, epoch, rank, ranks, isOpen, orders, step, map, prepared, armed, held, experts,
+    MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held, experts,
                    chosen)
 };
 
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -39,6 +39,8 @@
 {
     rank_number rank = 0;
     rank_order order;
+    /** The agent has not answered in time and the group waits: send the order to the engine itself. */
+    bool directly = false;
 };
 
 /** For logs. */
@@ -91,6 +93,8 @@
 
     [[nodiscard]] std::vector<map_action> step(const map_event &event, time_point now);
     [[nodiscard]] phase currentPhase() const;
+    /** Latest reports, by rank, that are not older than `window`. */
+    [[nodiscard]] std::vector<engine_rank_status> reports(duration window, time_point now) const;
     /** Load of the busiest rank over the mean with the present map, as of the latest counts; 0 if not known. */
     [[nodiscard]] double skew() const;
     [[nodiscard]] std::uint64_t switches() const;
@@ -103,6 +107,8 @@
         /** Order of the present phase without an answer. */
         order_id pending;
         time_point sentAt {};
+        /** Orders of the present phase that were sent. */
+        std::uint32_t sends = 0;
         /** The rank has confirmed the present phase. */
         bool confirmed = false;
         /** The rank refused the last order; the next report tells why. */
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -200,6 +200,7 @@
     }
     group::engine_rank_status next;
     next.service = m_settings.service;
+    next.address = toString(*m_settings.engine);
     if (const auto decoded = m_dialect->decodeStatus(body, next); !decoded) {
         if (m_watches % 100 == 1) {
             logger()->info("event=no_group reason={}", decoded.error().detail);
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -28,6 +28,12 @@
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
 constexpr std::size_t maxGroups = 256;
+/** An engine answers within milliseconds, or has lost the answer. */
+constexpr duration engineTimeout = std::chrono::milliseconds(120);
+/** Reports come every 200 ms; one that is older says nothing of the engine now. */
+constexpr duration reportSilence = std::chrono::milliseconds(1500);
+/** Below it an engine is as good as the others. */
+constexpr double slowPace = 1.25;
 /** Fronts that share their load with each other; more would cost more messages than a node may send. */
 constexpr std::size_t maxFrontsNamed = 64;
 /** Versions of maps in one term; a later term begins above all versions of an earlier one. */
@@ -314,6 +320,10 @@
         message.configuration.push_back(held);
     }
     message.coordinators = m_links.addresses();
+    message.knowsEngines = who.role == forward::node_role::front && mayOrder();
+    if (message.knowsEngines) {
+        message.engines = m_engines;
+    }
     const auto log = m_control->status();
     message.leader = log.leader.value_or(peer_address {});
     message.term = log.term.value;
@@ -391,6 +401,10 @@
         std::visit(
             overloaded {
                 [&](group::send_order &what) {
+                    if (what.directly) {
+                        orderDirectly(group, what);
+                        return;
+                    }
                     m_messenger->send(record.agents[what.rank], forward::rank_command { term, std::move(what.order) });
                 },
                 [&](const group::map_note &what) {
@@ -401,6 +415,86 @@
     }
 }
 
+void coordinator_node::orderDirectly(const group_id &group, const group::send_order &what)
+{
+    const auto reports = m_groups.at(group).controller->reports(duration::max(), m_time->now());
+    const auto rank = std::find_if(reports.begin(), reports.end(),
+                                   [&what](const auto &status) { return status.rank == what.rank; });
+    const auto address = rank == reports.end() ? std::nullopt : parseSocketAddress(rank->address);
+    if (!address) {
+        logFor(part::group)->error("event=direct_order group={} rank={} reason=no_address", group.value, what.rank);
+        return;
+    }
+    auto &client = m_engineClients[rank->address];
+    if (!client) {
+        const http_client_settings settings { .connectTimeout = engineTimeout,
+                                              .firstByteTimeout = engineTimeout,
+                                              .progressTimeout = engineTimeout,
+                                              .endOfConnectionIsEnd = false,
+                                              .keepHost = false };
+        client = std::make_unique<http_client>(m_loop->base(), address->ip, address->port, settings, *this);
+    }
+    logFor(part::group)
+        ->warn("event=direct_order group={} rank={} op={} version={} step={}", group.value, what.rank,
+               static_cast<int>(what.order.operation), what.order.version.value, what.order.step.value);
+    m_lastDirectOrder = m_lastDirectOrder.next();
+    const attempt_id attempt { m_incarnation, m_lastDirectOrder };
+    m_directOrders[attempt] = { group, what.rank, what.order.id, group::order_result::unknown };
+    client->start(attempt, m_dialect->orderCall(what.order));
+}
+
+void coordinator_node::onAnswerStart(attempt_id attempt, int status, const http_headers & /*headers*/)
+{
+    m_directOrders[attempt].result = m_dialect->decodeOrderResult(status);
+}
+
+void coordinator_node::onBytes(attempt_id /*attempt*/, std::string_view /*bytes*/)
+{
+}
+
+void coordinator_node::onAnswerEnd(attempt_id attempt)
+{
+    endDirectOrder(attempt, m_directOrders[attempt].result);
+}
+
+void coordinator_node::onFailure(attempt_id attempt, bool /*notSent*/)
+{
+    endDirectOrder(attempt, group::order_result::unknown);
+}
+
+void coordinator_node::endDirectOrder(attempt_id attempt, group::order_result result)
+{
+    const auto found = m_directOrders.find(attempt);
+    if (found == m_directOrders.end()) {
+        return;
+    }
+    const auto done = std::move(found->second);
+    m_directOrders.erase(found);
+    onRankResult({ done.group, done.rank, { done.order, result } });
+}
+
+void coordinator_node::reviewEngines()
+{
+    std::vector<forward::engine_condition> engines;
+    for (const auto &[id, record] : m_groups) {
+        const auto reports = record.controller->reports(reportSilence, m_time->now());
+        const bool isOpen = std::all_of(reports.begin(), reports.end(), [](const auto &one) { return one.isOpen; });
+        for (const auto &one : reports) {
+            if (!isOpen || one.pace >= slowPace) {
+                engines.push_back({ one.address, isOpen, one.pace });
+            }
+        }
+    }
+    if (engines != m_engines) {
+        m_engines = std::move(engines);
+        logFor(part::group)
+            ->warn("event=engines_impaired count={} first={} open={} pace={:.1f}", m_engines.size(),
+                   m_engines.empty() ? "" : m_engines.front().address, m_engines.empty() || m_engines.front().isOpen,
+                   m_engines.empty() ? 1.0 : m_engines.front().pace);
+        publish();
+    }
+}
+
 void coordinator_node::publish()
 {
     for (auto &[address, who] : m_subscribers) {
@@ -461,6 +555,7 @@
         for (const auto &entry : m_groups) {
             stepMaps(entry.first, group::map_tick {});
         }
+        reviewEngines();
     }
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -222,6 +222,9 @@
     for (const auto &one : update.configuration) {
         apply(one);
     }
+    if (update.knowsEngines) {
+        m_forwarder.pool().setEngines(update.engines, now);
+    }
     if (!update.frontAddresses.empty()) {
         m_otherFronts = update.frontAddresses;
         std::erase(m_otherFronts, m_messenger->self());
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -19,12 +19,19 @@
 constexpr std::uint32_t failuresToBlock = 3;
 constexpr duration blockBase = std::chrono::milliseconds(500);
 constexpr duration unreachableBase = std::chrono::milliseconds(300);
-constexpr duration blockMax = std::chrono::seconds(5);
-constexpr std::uint32_t maxDoublings = 4;
+/** Groups are back within seconds of a repair; a longer block would keep sound targets idle. */
+constexpr duration blockMax = std::chrono::seconds(1);
+constexpr std::uint32_t maxDoublings = 2;
 /** Load, in requests, that a target in another data centre must have less to be preferred. */
 constexpr double remotePenalty = 0.5;
 /** What another node said of its requests is out of date after this time; nodes speak every 250 ms. */
 constexpr duration peerSilence = std::chrono::milliseconds(900);
+/** What was said of engines is out of date after this time. */
+constexpr duration engineSilence = std::chrono::seconds(2);
+/**
+ * A target of pace 1.5 counts as full. The ranks of a group advance together, so a request at a slow one delays all.
+ */
+constexpr double slowPenaltySlots = 2.0;
 /** A target that fails every request counts as full. */
 constexpr double failurePenaltySlots = 1.0;
 
@@ -57,6 +64,26 @@
     m_evacuated = std::move(dataCentres);
 }
 
+void target_pool::setEngines(const std::vector<engine_condition> &engines, time_point now)
+{
+    m_enginesHeard = now;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        const auto found = std::find_if(engines.begin(), engines.end(), [&entry = entry](const auto &one) {
+            return one.address == entry.what.address;
+        });
+        auto &record = m_records[id];
+        const bool isBroken = found != engines.end() && !found->isOpen;
+        if (record.isBroken && !isBroken) {
+            // What failed with its group says nothing about the target.
+            record.failuresInRow = 0;
+            record.failureShare = 0;
+            record.blockedUntil = {};
+        }
+        record.isBroken = isBroken;
+        record.pace = found == engines.end() ? 1 : found->pace;
+    }
+}
+
 void target_pool::setNodeCount(std::uint32_t nodes)
 {
     m_nodes = std::max<std::uint32_t>(1, nodes);
@@ -102,7 +129,8 @@
 {
     const double slots = std::max<std::uint32_t>(1, entry.what.slots);
     const double remote = entry.what.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
-    return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots;
+    const double slow = now - m_enginesHeard <= engineSilence ? std::max(0.0, record.pace - 1) * slowPenaltySlots : 0;
+    return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots + slow;
 }
 
 bool target_pool::hasColdToken(const directory_entry &entry, target_record &record, time_point now) const
@@ -130,7 +158,8 @@
             continue;
         }
         auto &record = m_records[id];
-        if (record.blockedUntil > now) {
+        const bool knowsEngines = now - m_enginesHeard <= engineSilence;
+        if (record.blockedUntil > now || (knowsEngines && record.isBroken)) {
             continue;
         }
         anyUsable = true;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -20,6 +20,8 @@
 /** An order is sent again after this time; orders and their answers stay on one machine and one network. */
 constexpr duration orderTimeout = std::chrono::milliseconds(150);
 /** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
+/** Orders through an agent before the engine is called itself, which costs more. */
+constexpr std::uint32_t agentTries = 1;
 constexpr duration prepareTimeout = std::chrono::seconds(6);
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
@@ -46,6 +48,17 @@
     return m_phase;
 }
 
+std::vector<engine_rank_status> map_controller::reports(duration window, time_point now) const
+{
+    std::vector<engine_rank_status> latest;
+    for (const auto &[number, rank] : m_ranks) {
+        if (now - rank.heard <= window) {
+            latest.push_back(rank.status);
+        }
+    }
+    return latest;
+}
+
 double map_controller::skew() const
 {
     return m_skew;
@@ -193,6 +206,7 @@
     for (auto &[number, rank] : m_ranks) {
         rank.pending = {};
         rank.sentAt = {};
+        rank.sends = 0;
         rank.confirmed = false;
         rank.refused = false;
     }
@@ -267,7 +281,11 @@
     order.id = m_lastOrder;
     to.pending = order.id;
     to.sentAt = m_now;
-    m_actions.emplace_back(send_order { rank, std::move(order) });
+    // While a step is held or ranks are armed the group may come to a stop, so a silent agent is passed by.
+    const bool isUrgent = m_phase == phase::arming || m_phase == phase::releasing;
+    const bool directly = isUrgent && to.sends >= agentTries;
+    to.sends += 1;
+    m_actions.emplace_back(send_order { rank, std::move(order), directly });
 }
 
 void map_controller::sendToUnsettled()
@@ -459,6 +477,9 @@
     limits.expertShare = model.expertShare;
     limits.lifetime = mapLifetime;
     limits.byteBudget = { model.bytesPerExpert.count * static_cast<std::int64_t>(m_size * model.spare * model.sets) };
+    for (const auto &[number, rank] : m_ranks) {
+        limits.timePerToken.push_back(std::max(1.0, rank.status.pace));
+    }
     double busiest = 0;
     double mean = 0;
     for (std::size_t set = 0; set < model.sets; ++set) {
