Move streams off slow ranks, take back a hold of a silent agent, refuse at once what cannot be placed

Change: a hold without an answer is taken back at the engine after 400 ms (no rank is armed then); streams at a slow rank are resumed at others within the budget, and slow ranks get requests only where there are no others; a request is refused at once if its group is broken or more wait than can be placed in time.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -293,6 +293,8 @@
         std::optional<pass_answer> fallback;
         result_code lastFailure = result_code::no_target;
         bool streaming = false;
+        /** Is in the queue for room at a target. */
+        bool isWaiting = false;
         event_splitter events;
     };
 
@@ -312,6 +314,11 @@
     void placeWaiting();
     void checkDeadline(exchange_id exchange, request_state &state);
     void checkSilence(exchange_id exchange, request_state &state);
+    /** Leaves the current target for another one; the budget of repeats allowed it. */
+    void move(exchange_id exchange, request_state &state, std::string why);
+    /** More requests wait than can be placed before they have waited too long. */
+    [[nodiscard]] bool isQueueFull(const request_state &state) const;
+    void noteStart(const service_id &service);
     void pace();
     [[nodiscard]] choice_limits limitsFor(const request_state &state) const;
     [[nodiscard]] bool mayRunAgain(const request_state &state) const;
@@ -339,6 +346,13 @@
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
+    /** Smoothed rate of attempts started, a second. */
+    struct start_rate
+    {
+        double perSecond = 0;
+        time_point at {};
+    };
+    std::map<service_id, start_rate> m_starts;
     std::map<service_id, request::retry_budget> m_budgets;
     /** Of services that answer with streams. */
     std::map<service_id, pace_controller> m_paces;
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -100,6 +100,10 @@
     /** Another target was named as the cause of a failure. */
     void onBlamed(const target_id &target, time_point now);
 
+    /** A target that delays the others of its group so much that its streams are better moved. */
+    [[nodiscard]] bool isSlow(const target_id &target, time_point now) const;
+    /** The groups of all targets of the service are known to be broken. */
+    [[nodiscard]] bool isBroken(const service_id &service, time_point now) const;
     /** Targets of the service that answered something within `window`. */
     [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
     /** Requests at targets of the service, and the places that they have. */
@@ -134,6 +138,7 @@
         time_point coldAt {};
     };
 
+    [[nodiscard]] bool knowsEngines(time_point now) const;
     [[nodiscard]] double load(const target_record &record, time_point now) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -80,6 +80,8 @@
         preparing,
         /** One rank is asked to hold the step. */
         holding,
+        /** The agent of the holding rank is silent, so the hold is taken back; no rank is armed yet. */
+        unholding,
         arming,
         releasing,
         /** The hold is released; the ranks switch as the step begins. */
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -3,6 +3,7 @@
 #include "figcleat/core/invariant.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace figcleat::forward
 {
@@ -34,6 +35,10 @@
 constexpr double earliestReturn = 0.6;
 constexpr milliseconds unknownReturn { 1000 };
 constexpr int firstErrorStatus = 500;
+/** Time over which the rate of attempts is smoothed. */
+constexpr double rateSeconds = 1.0;
+/** This many requests may wait in any case, so that a quiet node has a queue. */
+constexpr double minWaiting = 1;
 
 } // namespace
 
@@ -169,10 +174,12 @@
         startAttempt(exchange, state, *target);
         return;
     }
-    if (m_now >= state.waitUntil) {
+    const bool isHopeless = m_pool.isBroken(state.service, m_now) || (!state.isWaiting && isQueueFull(state));
+    if (m_now >= state.waitUntil || isHopeless) {
         giveUp(exchange, state, target.error().code);
         return;
     }
+    state.isWaiting = true;
     m_waiting.push_back(exchange);
 }
 
@@ -183,6 +190,8 @@
     state.lastTarget = target.what.target;
     state.tried.insert(target.what.target);
     state.sends += 1;
+    state.isWaiting = false;
+    noteStart(state.service);
     state.firstSent = state.firstSent.value_or(m_now);
     attempt_state attempt;
     attempt.exchange = exchange;
@@ -203,6 +212,27 @@
     m_actions.emplace_back(start_attempt { m_lastAttempt, std::move(call) });
 }
 
+void forwarder::noteStart(const service_id &service)
+{
+    auto &rate = m_starts[service];
+    const double age = std::chrono::duration<double>(m_now - rate.at).count() / rateSeconds;
+    rate.perSecond = rate.perSecond * std::exp(-std::max(0.0, age)) + 1 / rateSeconds;
+    rate.at = m_now;
+}
+
+bool forwarder::isQueueFull(const request_state &state) const
+{
+    const auto waiting
+        = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](exchange_id exchange) {
+              const auto other = m_requests.find(exchange);
+              return other != m_requests.end() && other->second.service == state.service;
+          }));
+    const auto rate = m_starts.find(state.service);
+    const double perSecond = rate == m_starts.end() ? 0 : rate->second.perSecond;
+    const double left = std::chrono::duration<double>(state.waitUntil - m_now).count();
+    return waiting >= std::max(minWaiting, perSecond * left);
+}
+
 choice_limits forwarder::limitsFor(const request_state &state) const
 {
     if (state.where->kind != route_kind::stream) {
@@ -479,17 +509,27 @@
     if (found == m_attempts.end() || !isIdempotent(state) || state.runs + 1 >= state.where->attempts) {
         return;
     }
+    const bool isSlow = state.streaming && m_pool.isSlow(found->second.target, m_now);
+    if (isSlow && !m_pool.isBroken(state.service, m_now) && takeRepeat(state.service)) {
+        move(exchange, state, "slow");
+        return;
+    }
     const milliseconds limit = std::max(silenceMin, state.where->objective * silenceObjectives);
     if (m_now - found->second.lastProgress < limit || m_pool.countActive(state.service, activeWindow, m_now) < 2) {
         return;
     }
-    if (!takeRepeat(state.service)) {
-        return;
+    if (takeRepeat(state.service)) {
+        move(exchange, state, "silent");
     }
-    note(state, "silent", "retry");
+}
+
+void forwarder::move(exchange_id exchange, request_state &state, std::string why)
+{
+    note(state, std::move(why), "retry");
     m_actions.emplace_back(cancel_attempt { state.current });
     state.events.dropPartial();
     state.runs += 1;
+    state.waitUntil = std::max(state.waitUntil, m_now + (state.streaming ? resumeWait : retryWait));
     endAttempt(state, attempt_result::failed);
     place(exchange, state);
 }
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -28,10 +28,8 @@
 constexpr duration peerSilence = std::chrono::milliseconds(900);
 /** What was said of engines is out of date after this time. */
 constexpr duration engineSilence = std::chrono::seconds(2);
-/**
- * A target of pace 1.5 counts as full. The ranks of a group advance together, so a request at a slow one delays all.
- */
-constexpr double slowPenaltySlots = 2.0;
+/** The ranks of a group advance together, so a request at a target of this pace delays the streams of all others. */
+constexpr double slowPace = 1.5;
 /** A target that fails every request counts as full. */
 constexpr double failurePenaltySlots = 1.0;
 
@@ -129,8 +127,7 @@
 {
     const double slots = std::max<std::uint32_t>(1, entry.what.slots);
     const double remote = entry.what.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty;
-    const double slow = now - m_enginesHeard <= engineSilence ? std::max(0.0, record.pace - 1) * slowPenaltySlots : 0;
-    return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots + slow;
+    return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots;
 }
 
 bool target_pool::hasColdToken(const directory_entry &entry, target_record &record, time_point now) const
@@ -149,6 +146,14 @@
                                               const choice_limits &limits, time_point now)
 {
     sumPeers(now);
+    // Slow targets are used only where there are no others.
+    const bool avoidsSlow = knowsEngines(now)
+        && std::any_of(m_directory->entries().begin(), m_directory->entries().end(), [&](const auto &one) {
+                                const auto record = m_records.find(one.first);
+                                return one.second.what.service == service && isOpen(one.second)
+                                    && !excluded.contains(one.first) && record != m_records.end()
+                                    && !record->second.isBroken && record->second.pace < slowPace;
+                            });
     const directory_entry *best = nullptr;
     double bestScore = 0;
     std::uint32_t ties = 0;
@@ -158,8 +163,8 @@
             continue;
         }
         auto &record = m_records[id];
-        const bool knowsEngines = now - m_enginesHeard <= engineSilence;
-        if (record.blockedUntil > now || (knowsEngines && record.isBroken)) {
+        if (record.blockedUntil > now || (knowsEngines(now) && record.isBroken)
+            || (avoidsSlow && record.pace >= slowPace)) {
             continue;
         }
         anyUsable = true;
@@ -287,6 +292,33 @@
     block(record, blockBase, now);
 }
 
+bool target_pool::knowsEngines(time_point now) const
+{
+    return m_enginesHeard != time_point {} && now - m_enginesHeard <= engineSilence;
+}
+
+bool target_pool::isSlow(const target_id &target, time_point now) const
+{
+    const auto record = m_records.find(target);
+    return knowsEngines(now) && record != m_records.end() && record->second.pace >= slowPace;
+}
+
+bool target_pool::isBroken(const service_id &service, time_point now) const
+{
+    bool any = false;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.what.service != service || !isOpen(entry)) {
+            continue;
+        }
+        const auto record = m_records.find(id);
+        if (!knowsEngines(now) || record == m_records.end() || !record->second.isBroken) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 std::size_t target_pool::countActive(const service_id &service, duration window, time_point now) const
 {
     std::size_t active = 0;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -23,6 +23,10 @@
 /** Orders through an agent before the engine is called itself, which costs more. */
 constexpr std::uint32_t agentTries = 1;
 constexpr duration prepareTimeout = std::chrono::seconds(6);
+/** A hold without an answer may stop the group, so it is taken back after this time. */
+constexpr duration holdTimeout = std::chrono::milliseconds(400);
+/** After an agent was silent, no switch begins for this time. */
+constexpr duration pauseAfterSilence = std::chrono::seconds(1);
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
 constexpr std::uint64_t firstStepMargin = 2;
@@ -214,7 +218,8 @@
 
 bool map_controller::takesPart(rank_number rank) const
 {
-    return m_phase == phase::holding || m_phase == phase::releasing ? rank == m_holder : true;
+    const bool concernsHolder = m_phase == phase::holding || m_phase == phase::unholding || m_phase == phase::releasing;
+    return !concernsHolder || rank == m_holder;
 }
 
 /** What the present phase asks of the rank is done. */
@@ -228,6 +233,8 @@
         return status.prepared == m_version;
     case phase::holding:
         return rank.confirmed || status.held == m_step;
+    case phase::unholding:
+        return rank.confirmed || rank.refused || (rank.heard > m_since && status.held == step_number {});
     case phase::arming:
         return rank.confirmed || status.armed == m_version;
     case phase::releasing:
@@ -261,6 +268,7 @@
     case phase::arming:
         order.operation = rank_operation::arm;
         break;
+    case phase::unholding:
     case phase::releasing:
         order.operation = rank_operation::go;
         break;
@@ -283,7 +291,7 @@
     to.sentAt = m_now;
     // While a step is held or ranks are armed the group may come to a stop, so a silent agent is passed by.
     const bool isUrgent = m_phase == phase::arming || m_phase == phase::releasing;
-    const bool directly = isUrgent && to.sends >= agentTries;
+    const bool directly = m_phase == phase::unholding || (isUrgent && to.sends >= agentTries);
     to.sends += 1;
     m_actions.emplace_back(send_order { rank, std::move(order), directly });
 }
@@ -351,6 +359,11 @@
     case phase::holding:
         enter(phase::arming);
         break;
+    case phase::unholding:
+        m_version = {};
+        m_nextPlan = m_now + pauseAfterSilence;
+        enter(phase::idle);
+        break;
     case phase::arming:
         enter(phase::releasing);
         break;
@@ -405,6 +418,9 @@
     } else if (m_phase == phase::switching && since >= switchTimeout && isClean()) {
         note(fmt::format("abandoned=1 version={} reason=not_switched", m_version.value));
         enter(phase::idle);
+    } else if (m_phase == phase::holding && since >= holdTimeout) {
+        note(fmt::format("abandoned=1 version={} reason=agent_silent rank={}", m_version.value, m_holder));
+        enter(phase::unholding);
     } else if (m_phase == phase::arming && since >= switchTimeout && areFresh(freshness) && !canArm()) {
         note(fmt::format("abandoned=1 version={} reason=not_prepared", m_version.value));
         enter(phase::disarming);
