--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,169 @@
+#include "platform/platform-dialect.h"
+#include "platform/settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace figcleat;
+using namespace figcleat::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const platform_dialect language;
+
+http_request makeCall(std::string method, std::string path, std::string body = {})
+{
+    return { std::move(method), std::move(path), {}, std::move(body) };
+}
+
+const std::string beat = R"({"service":"svc","addr":"10.0.0.9:8080","zone":"north","version":"v1","slots":12,)"
+                         R"("state":"ready","cold-left-ms":250.5,"seq":4,"born":17})";
+
+const std::string settingsText = R"(
+node = "edge-1"
+ip = "10.1.0.40"
+zone = "north"
+internal-ports = [7340,7355]
+seeds = ["10.1.0.43:8229","10.2.0.32:8229"]
+bootstrap = true
+data-dir = "/data/core"
+app = "10.1.0.44:8228"
+service = "svc"
+[zones]
+north = "region"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+control = "10.1.0.40:8229"
+[fault-tolerance]
+machines = 2
+[bounds]
+grace-s = 8
+retry-budget-ratio = 0.2
+retry-budget-slack = 92
+retry-window-s = 10
+)";
+
+} // namespace
+
+TEST_CASE("a request is decoded and passed on with what the target needs", "[platform]")
+{
+    http_request request = makeCall("POST", "/a/b?x=1", "body");
+    request.headers = { { "Host", "desk.example" },
+                        { "X-Figcleat-Attempt-Id", "id-1" },
+                        { "X-Figcleat-Deadline-Ms", "8000" },
+                        { "X-Figcleat-Token-Count", "1460,80" },
+                        { "X-Figcleat-Tenant", "forged" },
+                        { "Authorization", "Bearer secret" },
+                        { "X-Other", "kept" } };
+    forward::outgoing_call call;
+    const auto decoded = language.decodeRequest(request);
+    CHECK(decoded.key == "secret");
+    CHECK(decoded.deadline == 8000ms);
+    CHECK(decoded.promptTokens == 1460);
+    call.request = std::make_shared<const forward::caller_request>(decoded);
+    call.target = { "i-1" };
+    call.workspace = { "clinics" };
+    call.timeLeft = 1200ms;
+    call.lastEventId = "7";
+    const auto sent = language.encodeCall(call);
+    CHECK(sent.path == "/a/b?x=1");
+    CHECK(findHeader(sent.headers, "X-Figcleat-Attempt-Id") == "id-1");
+    CHECK(findHeader(sent.headers, "X-Figcleat-Deadline-Ms") == "1200");
+    CHECK(findHeader(sent.headers, "X-Figcleat-Expect-Instance") == "i-1");
+    CHECK(findHeader(sent.headers, "X-Figcleat-Tenant") == "clinics");
+    CHECK(findHeader(sent.headers, "Last-Event-Id") == "7");
+    CHECK(findHeader(sent.headers, "X-Other") == "kept");
+    CHECK(findHeader(sent.headers, "Authorization").empty());
+}
+
+TEST_CASE("bytes that are not the target's answer are told from it", "[platform]")
+{
+    forward::caller_request request;
+    request.id = { "id-1" };
+    const http_headers sealed { { "X-Figcleat-Attempt-Id", "id-1" }, { "X-Figcleat-Server-Seal", "s" } };
+    CHECK_FALSE(language.decodeHead(request, 200, sealed).isSpoiled);
+    CHECK(language.decodeHead(request, 200, { { "X-Figcleat-Attempt-Id", "id-1" } }).isSpoiled);
+    CHECK(language.decodeHead(request, 200, { { "X-Figcleat-Attempt-Id", "id-2" }, sealed[1] }).isSpoiled);
+    CHECK(language.decodeHead(request, 200, { sealed[0], sealed[1], { "Content-Encoding", "gzip" } }).isSpoiled);
+    CHECK(language.decodeHead(request, 503, { { "X-Figcleat-Not-Executed", "1" } }).notRun);
+    CHECK(language.decodeHead(request, 421, {}).notRun);
+    CHECK_FALSE(language.decodeHead(request, 504, sealed).notRun);
+}
+
+TEST_CASE("only a request that did not run gets a status that says so", "[platform]")
+{
+    CHECK(language.encodeRefusal({ result_code::target_lost, true, std::nullopt }).status == 502);
+    CHECK(language.encodeRefusal({ result_code::deadline_exceeded, true, std::nullopt }).status == 504);
+    const auto refused = language.encodeRefusal({ result_code::target_at_limit, false, 1500ms });
+    CHECK(refused.status == 503);
+    CHECK(findHeader(refused.headers, "Retry-After") == "1.500");
+}
+
+TEST_CASE("a heartbeat names a target only if it is whole", "[platform]")
+{
+    const auto call = language.decodeCall(makeCall("PUT", "/-/instances/i-1", beat));
+    REQUIRE(call);
+    const auto &what = std::get<forward::register_target>(*call).what;
+    CHECK(what.target.value == "i-1");
+    CHECK(what.order == forward::registration_order { 17, 4 });
+    CHECK(what.coldLeftMs == 250);
+    for (const auto *broken : { "", "[]", R"({"service":"svc"})", "\xff\xfe" }) {
+        CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", broken)));
+    }
+    auto unknownState = beat;
+    unknownState.replace(unknownState.find("ready"), 5, "maybe");
+    CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", unknownState)));
+    auto noAddress = beat;
+    noAddress.replace(noAddress.find("10.0.0.9:8080"), 13, "nowhere");
+    CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", noAddress)));
+}
+
+TEST_CASE("a configuration that is cut short is refused", "[platform]")
+{
+    const std::string whole
+        = R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/a/","type":"safe","timeout-ms":100,)"
+          R"("service":"svc","attempts":2}],"services":[{"name":"svc","max-conns":5}],)"
+          R"("tenants":[{"name":"t","api-keys":["k"],"priority":1}]})";
+    const auto routes = language.decodeRoutes(whole);
+    REQUIRE(routes);
+    CHECK(forward::check(*routes));
+    CHECK(routes->routes.front().kind == forward::route_kind::safe);
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK_FALSE(language.decodeRoutes(whole.substr(0, length)));
+    }
+}
+
+TEST_CASE("the settings of each role are read and checked", "[platform]")
+{
+    const auto front = parseSettings(settingsText, forward::node_role::front);
+    REQUIRE(front);
+    CHECK(front->listen.port == 8227);
+    CHECK(front->seeds.front().value == "10.1.0.43:7340");
+    CHECK(front->coordinatorPort == 8229);
+    CHECK(front->bounds.grace == 8s);
+    CHECK(front->bounds.toleratedLosses == 2);
+    CHECK(parseSettings(settingsText, forward::node_role::coordinator)->dataFolder == "/data/core/log");
+    CHECK(parseSettings(settingsText, forward::node_role::agent)->engine->port == 8228);
+    const auto broken = parseSettings("node = 3\nseeds = [\"x\"]", forward::node_role::front);
+    REQUIRE_FALSE(broken);
+    for (const auto *field : { "node", "ip", "zone", "internal-ports", "seeds", "listen.front" }) {
+        CHECK(broken.error().detail.find(field) != std::string::npos);
+    }
+}
+
+TEST_CASE("the state of a rank is read from its engine", "[platform]")
+{
+    group::engine_rank_status status;
+    const std::string body = R"({"group":{"name":"g0","epoch":2,"rank":3,"state":"open"},"size":12,"seq":5,"pace":1.5,)"
+                             R"("step":46,"map":7,"prepared":8,"armed":{"version":8,"step":47},"held":48})";
+    REQUIRE(language.decodeStatus(body, status));
+    CHECK(status.rank == 3);
+    CHECK(status.orders == 5);
+    CHECK(status.armed.value == 8);
+    CHECK(status.held.value == 48);
+    REQUIRE(language.decodeChosen(R"({"counts":[1,2,3,4,5,6]})", 3, status));
+    CHECK(status.chosen == group::expert_lists { { 1, 2 }, { 3, 4 }, { 5, 6 } });
+    CHECK_FALSE(language.decodeStatus(R"({"phase":"mixed"})", status));
+}
