--- a/include/figcleat/http/client.h
+++ b/include/figcleat/http/client.h
@@ -39,10 +39,13 @@
     bool endOfConnectionIsEnd = false;
     /** The Host header of the call goes before the address. */
     bool keepHost = false;
+    /** Connections are used again, for a peer on the same VM that is called often. */
+    bool keepAlive = false;
 };
 
 /**
- * HTTP client over evhttp: one connection for each call, so that a silent connection holds back one call only.
+ * HTTP client over evhttp: one connection for each call at a time, so that a silent connection holds back one call
+ * only.
  *
  * It never sends a call twice.
  */
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -63,7 +63,8 @@
                                         .firstByteTimeout = engineTimeout,
                                         .progressTimeout = engineTimeout,
                                         .endOfConnectionIsEnd = false,
-                                        .keepHost = false };
+                                        .keepHost = false,
+                                        .keepAlive = true };
     m_engine
         = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
     m_loop->every(pollPeriod, [this] { poll(); });
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -431,7 +431,8 @@
                                               .firstByteTimeout = engineTimeout,
                                               .progressTimeout = engineTimeout,
                                               .endOfConnectionIsEnd = false,
-                                              .keepHost = false };
+                                              .keepHost = false,
+                                              .keepAlive = false };
         client = std::make_unique<http_client>(m_loop->base(), address->ip, address->port, settings, *this);
     }
     logFor(part::group)
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -333,7 +333,8 @@
                                               .firstByteTimeout = answerTimeout,
                                               .progressTimeout = answerTimeout,
                                               .endOfConnectionIsEnd = true,
-                                              .keepHost = true };
+                                              .keepHost = true,
+                                              .keepAlive = false };
         client = std::make_unique<http_client>(m_loop->base(), parsed->ip, parsed->port, settings, *this);
     }
     return client.get();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,7 @@
 #include <event2/util.h>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace figcleat
@@ -75,10 +76,14 @@
         /** The timer runs for the answer, not for the connection. */
         bool timesAnswer = false;
 
+        evbuffer_cb_entry *sentWatch = nullptr;
+
         ~call()
         {
             event_free(progressTimer);
-            evhttp_connection_free(connection);
+            if (connection != nullptr) {
+                evhttp_connection_free(connection);
+            }
         }
     };
 
@@ -91,15 +96,22 @@
     /** Ended calls; freed by an event of their own, since libevent may still be using the connection. */
     std::vector<std::unique_ptr<call>> ended;
     event *reaper = nullptr;
+    /** Connections that wait for their next call. */
+    std::vector<evhttp_connection *> idle;
 
     ~state()
     {
         calls.clear();
         ended.clear();
+        for (auto *connection : idle) {
+            evhttp_connection_free(connection);
+        }
         event_free(reaper);
     }
 
     void retire(attempt_id attempt);
+    void keep(call &done);
+    evhttp_connection *takeConnection();
     void restartTimer(call &running) const;
     void fail(call &running);
     void onTimeout(call &running);
@@ -122,6 +134,29 @@
     event_active(reaper, EV_TIMEOUT, 0);
 }
 
+void http_client::state::keep(call &done)
+{
+    constexpr std::size_t maxIdle = 4;
+    if (!settings.keepAlive || idle.size() >= maxIdle) {
+        return;
+    }
+    evbuffer_remove_cb_entry(bufferevent_get_output(evhttp_connection_get_bufferevent(done.connection)),
+                             done.sentWatch);
+    idle.push_back(std::exchange(done.connection, nullptr));
+}
+
+evhttp_connection *http_client::state::takeConnection()
+{
+    if (!idle.empty()) {
+        auto *connection = idle.back();
+        idle.pop_back();
+        return connection;
+    }
+    auto *connection = evhttp_connection_base_new(loop, nullptr, ip.c_str(), port);
+    evhttp_connection_set_retries(connection, 0);
+    return connection;
+}
+
 void http_client::state::restartTimer(call &running) const
 {
     const bool isConnecting = !running.sentBytes && settings.connectTimeout > duration {};
@@ -192,6 +227,7 @@
         return;
     }
     const attempt_id attempt = running.attempt;
+    client.keep(running);
     client.retire(attempt);
     client.handler->onAnswerEnd(attempt);
 }
@@ -214,8 +250,7 @@
 
 void http_client::state::begin(call &running, const service_call &what, evhttp_cmd_type command)
 {
-    running.connection = evhttp_connection_base_new(loop, nullptr, ip.c_str(), port);
-    evhttp_connection_set_retries(running.connection, 0);
+    running.connection = takeConnection();
     running.progressTimer = evtimer_new(
         loop,
         [](evutil_socket_t, short, void *context) {
@@ -223,7 +258,7 @@
         },
         &running);
     running.isHead = command == EVHTTP_REQ_HEAD;
-    evbuffer_add_cb(
+    running.sentWatch = evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(running.connection)),
         [](evbuffer *, const evbuffer_cb_info *info, void *context) {
             static_cast<call *>(context)->sentBytes |= info->n_deleted > 0;
@@ -241,7 +276,7 @@
     const std::string_view host = settings.keepHost ? findHeader(what.headers, "Host") : std::string_view();
     const std::string address = ip + ":" + std::to_string(port);
     evhttp_add_header(headers, "Host", host.empty() ? address.c_str() : host.data());
-    evhttp_add_header(headers, "Connection", "close");
+    evhttp_add_header(headers, "Connection", settings.keepAlive ? "keep-alive" : "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), what.body.data(), what.body.size());
     restartTimer(running);
     if (evhttp_make_request(running.connection, request, command, what.path.c_str()) != 0) {
