--- /dev/null
+++ b/include/figcleat/core/log-output.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace figcleat
+{
+
+/** Sends the lines of every part to standard output instead of standard error. */
+void logToStandardOutput();
+
+} // namespace figcleat
--- a/include/figcleat/group/engine-rank.h
+++ b/include/figcleat/group/engine-rank.h
@@ -48,8 +48,8 @@
     /** How often each expert was chosen by this rank's requests since its start; empty if not read. */
     expert_lists chosen {};
 
-    MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held, experts,
-                   chosen)
+    MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held,
+                   experts, chosen)
 };
 
 enum class rank_operation : std::uint8_t {
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -1,5 +1,7 @@
 #include "figcleat/core/log.h"
 
+#include "figcleat/core/log-output.h"
+
 #include <array>
 #include <spdlog/sinks/stdout_sinks.h>
 
@@ -39,6 +41,14 @@
     return loggers()[static_cast<std::size_t>(which)];
 }
 
+void logToStandardOutput()
+{
+    const auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+    for (const auto &logger : loggers()) {
+        logger->sinks() = { sink };
+    }
+}
+
 void startLog(const std::string &level, const std::string &vm)
 {
     for (const auto &logger : loggers()) {
