Hold a later step while orders go unanswered

Change: agents give an engine 50 ms; after a switch with an unanswered order the next ones hold a step 10 ahead, falling back by half with each clean one.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -164,6 +164,8 @@
     /** Rank that holds the step. */
     rank_number m_holder = 0;
     std::uint64_t m_stepMargin = 0;
+    /** Orders of the switch under way that got no answer. */
+    std::uint64_t m_unanswered = 0;
     time_point m_nextPlan {};
     /** Smoothed count of choices by set and expert. */
     std::vector<std::vector<double>> m_popularity;
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -19,7 +19,7 @@
 constexpr duration loadingWatchPeriod = std::chrono::milliseconds(50);
 constexpr duration coordinatorSilence = std::chrono::milliseconds(2500);
 /** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
-constexpr duration engineTimeout = std::chrono::milliseconds(120);
+constexpr duration engineTimeout = std::chrono::milliseconds(50);
 
 auto logger()
 {
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -31,6 +31,11 @@
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
 constexpr std::uint64_t firstStepMargin = 2;
 constexpr std::uint64_t maxStepMargin = 48;
+/**
+ * The same while orders go unanswered: several rounds of about 55 ms, at 50 ms a step, have to end before the held step
+ * is reached, as a pause of a step makes every stream of the group late.
+ */
+constexpr std::uint64_t unansweredStepMargin = 10;
 /** New experts of a rank and set in one switch; more take longer to load than demand stays. */
 constexpr std::size_t loadsPerSwitch = 1;
 /** Time for which a map is taken to be of use; demand shifts every few seconds. */
@@ -156,6 +161,7 @@
     case order_result::unknown:
         rank.pending = {};
         rank.sentAt = {};
+        ++m_unanswered;
         break;
     }
     advance();
@@ -372,7 +378,7 @@
         break;
     case phase::switching:
         ++m_switches;
-        m_stepMargin = firstStepMargin;
+        m_stepMargin = m_unanswered > 0 ? unansweredStepMargin : std::max(firstStepMargin, m_stepMargin / 2);
         note(fmt::format("switched=1 version={} step={}", m_version.value, m_step.value));
         enter(phase::idle);
         break;
@@ -509,6 +515,7 @@
     if (next.layers.empty()) {
         return;
     }
+    m_unanswered = 0;
     m_version = m_nextVersion;
     m_nextVersion = m_nextVersion.next();
     m_layers = std::move(next.layers);
