Log answers that are late, with their longest pause

Change: the end of a request names its longest pause and whether it was late; late ones are logged like failures.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -190,6 +190,10 @@
     duration queued {};
     duration firstByte {};
     duration whole {};
+    /** Longest pause between two events of a stream. */
+    duration longestPause {};
+    /** The answer began after its objective, or a pause was longer than the route allows. */
+    bool isLate = false;
     std::uint64_t configuration = 0;
 };
 
@@ -283,6 +287,8 @@
         time_point waitUntil {};
         std::optional<time_point> firstSent;
         std::optional<time_point> firstByte;
+        time_point lastEvent {};
+        duration longestPause {};
         attempt_number current;
         std::set<target_id> tried;
         std::uint32_t sends = 0;
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -398,13 +398,16 @@
 
 void front_node::carryOut(const forward::forward_ended &action)
 {
-    const auto level = action.code == result_code::ok ? spdlog::level::debug : spdlog::level::info;
+    // Answers in time are the rule; only the others need an explanation.
+    const bool isUneventful = action.code == result_code::ok && !action.isLate;
+    const auto level = isUneventful ? spdlog::level::debug : spdlog::level::info;
     logger()->log(level,
                   "event=request id={} route={} workspace={} service={} target={} code={} status={} attempts={} "
-                  "queued_ms={} first_ms={} whole_ms={} version={}",
+                  "queued_ms={} first_ms={} pause_ms={} whole_ms={} late={} version={}",
                   action.id.value, action.route.value, action.workspace.value, action.service.value,
                   action.target.value, describe(action.code).name, action.status, action.attempts,
-                  wholeMs(action.queued), wholeMs(action.firstByte), wholeMs(action.whole), action.configuration);
+                  wholeMs(action.queued), wholeMs(action.firstByte), wholeMs(action.longestPause),
+                  wholeMs(action.whole), action.isLate, action.configuration);
 }
 
 void front_node::carryOut(const forward::attempt_note &action)
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -402,6 +402,10 @@
 {
     std::string whole = state.events.push(bytes);
     if (!whole.empty()) {
+        if (state.firstByte) {
+            state.longestPause = std::max(state.longestPause, m_now - state.lastEvent);
+        }
+        state.lastEvent = m_now;
         state.firstByte = state.firstByte.value_or(m_now);
         m_actions.emplace_back(send_events { exchange, std::move(whole) });
     }
@@ -582,6 +586,10 @@
     ended.queued = state.firstSent.value_or(m_now) - state.arrived;
     ended.firstByte = state.firstByte.value_or(m_now) - state.arrived;
     ended.whole = m_now - state.arrived;
+    ended.longestPause = state.longestPause;
+    ended.isLate = state.where != nullptr
+        && (ended.firstByte > state.where->objective
+            || (state.streaming && state.where->maxGap.count() > 0 && ended.longestPause > state.where->maxGap));
     ended.configuration = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
     m_requests.erase(exchange);
