Call the engine of a silent agent at once in the next phase

Change: a rank whose agent left an order without an answer is called directly until the agent reports; an agent has 90 ms. A test freezes the agent of the holding rank at 60 moments of a switch.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -113,6 +113,8 @@
         std::uint32_t sends = 0;
         /** The rank has confirmed the present phase. */
         bool confirmed = false;
+        /** The agent left an order without an answer and has not reported since. */
+        bool agentSilent = false;
         /** The rank refused the last order; the next report tells why. */
         bool refused = false;
         /** Counts at the last report, to find what was chosen since. */
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -18,7 +18,7 @@
 /** A report that is older says too little of a rank to begin a switch. */
 constexpr duration freshness = std::chrono::milliseconds(700);
 /** An order is sent again after this time; orders and their answers stay on one machine and one network. */
-constexpr duration orderTimeout = std::chrono::milliseconds(150);
+constexpr duration orderTimeout = std::chrono::milliseconds(90);
 /** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
 /** Orders through an agent before the engine is called itself, which costs more. */
 constexpr std::uint32_t agentTries = 1;
@@ -111,6 +111,7 @@
     learnChosen(rank, status.chosen);
     rank.status = status;
     rank.heard = m_now;
+    rank.agentSilent = false;
     if (std::exchange(rank.refused, false)) {
         reconsider(rank);
     }
@@ -297,7 +298,8 @@
     to.sentAt = m_now;
     // While a step is held or ranks are armed the group may come to a stop, so a silent agent is passed by.
     const bool isUrgent = m_phase == phase::arming || m_phase == phase::releasing;
-    const bool directly = m_phase == phase::unholding || (isUrgent && to.sends >= agentTries);
+    to.agentSilent = to.agentSilent || to.sends >= agentTries;
+    const bool directly = m_phase == phase::unholding || (isUrgent && to.agentSilent);
     to.sends += 1;
     m_actions.emplace_back(send_order { rank, std::move(order), directly });
 }
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -202,6 +202,9 @@
             }
             if (i % 10 == 0) {
                 for (const auto &one : m_group.members()) {
+                    if (m_frozenAgent == one.status.rank) {
+                        continue;
+                    }
                     act(m_controller->step(rank_reported { one.status }, m_now));
                 }
             }
@@ -218,6 +221,11 @@
         return !m_group.isHeld();
     }
 
+    void freezeAgent(std::optional<rank_number> rank)
+    {
+        m_frozenAgent = rank;
+    }
+
     fake_group &group()
     {
         return m_group;
@@ -243,6 +251,9 @@
             if (sent == nullptr) {
                 continue;
             }
+            if (m_frozenAgent == sent->rank && !sent->directly) {
+                continue;
+            }
             auto &rank = m_group.members()[sent->rank];
             if (std::uniform_real_distribution<double>(0, 1)(m_group.random()) < m_lateShare) {
                 const auto delay = std::chrono::milliseconds(m_group.random()() % 4000);
@@ -273,6 +284,7 @@
     std::optional<map_controller> m_controller;
     std::vector<map_event> m_answers;
     std::vector<late_order> m_late;
+    std::optional<rank_number> m_frozenAgent;
 };
 
 } // namespace
@@ -337,3 +349,23 @@
     w.run(400);
     CHECK(w.controller().switches() > before);
 }
+
+TEST_CASE("a frozen agent does not hold its group up", "[group][map]")
+{
+    for (int moment = 0; moment < 60; ++moment) {
+        INFO("moment " << moment);
+        world w(5, 0);
+        w.run(100 + moment);
+        w.group().shiftDemand();
+        w.freezeAgent(0);
+        // A hold without an answer is taken back after 400 ms; a step takes 50 ms here.
+        w.run(60);
+        const auto before = w.group().currentStep();
+        w.run(100);
+        CHECK(w.group().currentStep().value >= before.value + 15);
+        w.freezeAgent(std::nullopt);
+        w.run(600);
+        CHECK(w.releases());
+        CHECK(w.controller().switches() > 0);
+    }
+}
