Take a hold without an answer back after 130 ms

Change: 130 ms; an agent that lives answers within 10 ms, or says after 50 ms that the engine has not answered.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -23,8 +23,8 @@
 /** Orders through an agent before the engine is called itself, which costs more. */
 constexpr std::uint32_t agentTries = 1;
 constexpr duration prepareTimeout = std::chrono::seconds(6);
-/** A hold without an answer may stop the group, so it is taken back after this time. */
-constexpr duration holdTimeout = std::chrono::milliseconds(400);
+/** A hold without an answer may stop the group, so it is taken back after this time, about when its step is reached. */
+constexpr duration holdTimeout = std::chrono::milliseconds(130);
 /** After an agent was silent, no switch begins for this time. */
 constexpr duration pauseAfterSilence = std::chrono::seconds(1);
 constexpr duration switchTimeout = std::chrono::seconds(3);
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -358,7 +358,7 @@
         w.run(100 + moment);
         w.group().shiftDemand();
         w.freezeAgent(0);
-        // A hold without an answer is taken back after 400 ms; a step takes 50 ms here.
+        // A hold without an answer is taken back after 130 ms; a step takes 50 ms here.
         w.run(60);
         const auto before = w.group().currentStep();
         w.run(100);
