Never hold the same step twice

Cause: engines do not count orders about maps (seq stays 0 in all runs), so a release of an earlier hold that is carried out late could end a later hold of the same step while ranks are being armed; an idle group does not advance its steps. Change: each hold takes a higher step than the one before in its epoch; comments and the design note say what voids a late order. After: the tests of the map controller pass.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -63,8 +63,8 @@
  *
  * Every rank prepares the new map. Then one rank holds a step S, so that the group cannot begin it; all ranks are armed
  * for S; the hold is released when every rank has confirmed. Until then no rank switches, and afterwards all do, as the
- * same step begins. Each order names the count of orders that it expects at its rank, so one that is carried out late
- * has no effect, and two controllers cannot both change a rank.
+ * same step begins. An order that is carried out late has no effect: its step has begun, its version is no longer the
+ * one prepared, or, where the engine counts such orders, the count that it names has passed.
  *
  * Only one controller may act at a time. One that finds a hold of its predecessor releases it if every rank is armed;
  * else it disarms all and lets every rank prepare the present map, which makes earlier orders void, before the release.
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -19,14 +19,15 @@
 constexpr duration freshness = std::chrono::milliseconds(700);
 /** An order is sent again after this time; orders and their answers stay on one machine and one network. */
 constexpr duration orderTimeout = std::chrono::milliseconds(90);
-/** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
 /** Orders through an agent before the engine is called itself, which costs more. */
 constexpr std::uint32_t agentTries = 1;
+/** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
 constexpr duration prepareTimeout = std::chrono::seconds(6);
 /** A hold without an answer may stop the group, so it is taken back after this time, about when its step is reached. */
 constexpr duration holdTimeout = std::chrono::milliseconds(130);
 /** After an agent was silent, no switch begins for this time. */
 constexpr duration pauseAfterSilence = std::chrono::seconds(1);
+/** Ranks switch within a few steps of the release; after this time their state is looked at again. */
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
 constexpr std::uint64_t firstStepMargin = 2;
@@ -88,6 +89,7 @@
 void map_controller::restart(const engine_rank_status &status)
 {
     m_epoch = status.epoch;
+    m_step = {};
     m_size = status.ranks;
     m_ranks.clear();
     enter(phase::idle);
@@ -545,7 +547,8 @@
     for (const auto &[number, rank] : m_ranks) {
         furthest = std::max(furthest, rank.status.step);
     }
-    m_step = { furthest.value + m_stepMargin };
+    // Never the same step twice: a release of an earlier hold may be carried out late.
+    m_step = { std::max(furthest.value + m_stepMargin, m_step.value + 1) };
     m_holder = m_ranks.begin()->first;
 }
 
