Poll coordinators that are no seeds

Cause: on the grown sites there are 6 to 8 coordinators and 3 seeds. A coordinator that is no seed polled the seeds, but they did not take it into their links, so they neither polled it nor named it to fronts. A registration that it took stayed with it: no front ever knew a target of the plain service, and half of the model targets were unknown for long. The same holds for a replaced coordinator that is not among the seeds of a node.

Ruled out: connection limits per front (two connections a front remain of 110 over 41) and want of processor time (fronts 0.03 of 0.24 cores); the logs say code=no_target, and no front logs a target of that service.

Change: a coordinator that polls becomes one to poll and to name.

The 404 to registrations is no fault of ours: the log shows a path that names no call. coordinator_links::highestTerm had no user but its test and is gone.

--- a/include/figcleat/daemon/node-links.h
+++ b/include/figcleat/daemon/node-links.h
@@ -39,6 +39,8 @@
 
     void onUpdate(const peer_address &from, incarnation_id incarnation, const forward::node_update &update,
                   time_point now);
+    /** A coordinator that polls this one is a coordinator to poll, and to name to others. */
+    void onCoordinatorPoll(const peer_address &from, time_point now);
     void setSeeds(const std::vector<peer_address> &seeds, time_point now);
     void forgetSilent(time_point now);
 
@@ -49,7 +51,6 @@
     [[nodiscard]] std::size_t heardWithin(duration window, time_point now) const;
     /** Leader of the replicated log as the coordinator with the highest term names it; empty if none is known. */
     [[nodiscard]] peer_address leader(duration window, time_point now) const;
-    [[nodiscard]] std::uint64_t highestTerm() const;
     /** The most fronts that a coordinator has counted lately; 0 if none has. */
     [[nodiscard]] std::uint32_t fronts(duration window, time_point now) const;
 
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -299,6 +299,9 @@
         logger()->warn("event=subscriber_refused vm={} subscribers={}", poll.vm.value, m_subscribers.size());
         return;
     }
+    if (poll.role == forward::node_role::coordinator) {
+        m_links.onCoordinatorPoll(received.from, m_time->now());
+    }
     auto &who = m_subscribers[received.from];
     who = { received.incarnation, poll.role, m_time->now(),
             poll.coordinator == m_incarnation ? poll.directoryVersion : 0, poll.revision };
--- a/src/daemon/node-links.cc
+++ b/src/daemon/node-links.cc
@@ -56,6 +56,11 @@
     }
 }
 
+void coordinator_links::onCoordinatorPoll(const peer_address &from, time_point now)
+{
+    add(from, false, now);
+}
+
 void coordinator_links::forgetSilent(time_point now)
 {
     std::erase_if(m_links,
@@ -96,15 +101,6 @@
     return leader;
 }
 
-std::uint64_t coordinator_links::highestTerm() const
-{
-    std::uint64_t term = 0;
-    for (const auto &entry : m_links) {
-        term = std::max(term, entry.second.term);
-    }
-    return term;
-}
-
 std::uint32_t coordinator_links::fronts(duration window, time_point now) const
 {
     std::uint32_t most = 0;
--- a/test/node-links-test.cc
+++ b/test/node-links-test.cc
@@ -52,6 +52,15 @@
     CHECK(links.addresses() == std::vector<peer_address> { { "10.0.0.9:7000" } });
 }
 
+TEST_CASE("a coordinator that is no seed is found when it polls", "[forward]")
+{
+    // Guards against registrations that stay at a coordinator which the seeds never name to fronts.
+    coordinator_links links({ first }, {}, start);
+    links.onCoordinatorPoll(second, start);
+    CHECK(links.links().contains(second));
+    CHECK(links.addresses() == std::vector<peer_address> { first, second });
+}
+
 TEST_CASE("the leader of the highest term is the one to report to", "[forward]")
 {
     coordinator_links links({ first, second }, {}, start);
@@ -63,6 +72,5 @@
     update.term = 4;
     links.onUpdate(second, { 8 }, update, start);
     CHECK(links.leader(1s, start) == second);
-    CHECK(links.highestTerm() == 4);
     CHECK(links.leader(1s, start + 2s).empty());
 }
