Send the priority of a request to its target

Cause: the priority of a workspace or route is decided at the front and was left out of the call, found by reading. Ruled out: a mistake of decoding; route and workspace priorities are read and tested. Change: X-Figcleat-Request-Priority carries it, at most 9.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -67,6 +67,7 @@
     call.workspace = { "clinics" };
     call.timeLeft = 1200ms;
     call.lastEventId = "7";
+    call.priority = 12;
     const auto sent = language.encodeCall(call);
     CHECK(sent.path == "/a/b?x=1");
     CHECK(findHeader(sent.headers, "X-Figcleat-Attempt-Id") == "id-1");
@@ -74,6 +75,7 @@
     CHECK(findHeader(sent.headers, "X-Figcleat-Expect-Instance") == "i-1");
     CHECK(findHeader(sent.headers, "X-Figcleat-Tenant") == "clinics");
     CHECK(findHeader(sent.headers, "Last-Event-Id") == "7");
+    CHECK(findHeader(sent.headers, "X-Figcleat-Request-Priority") == "9");
     CHECK(findHeader(sent.headers, "X-Other") == "kept");
     CHECK(findHeader(sent.headers, "Authorization").empty());
 }
@@ -115,6 +117,7 @@
     auto unknownState = beat;
     unknownState.replace(unknownState.find("ready"), 5, "maybe");
     CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", unknownState)));
+    CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instanceos/i-1", beat)));
     auto noAddress = beat;
     noAddress.replace(noAddress.find("10.0.0.9:8080"), 13, "nowhere");
     CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", noAddress)));
