--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -1,12 +1,8 @@
 #pragma once
 
 #include "figcleat/daemon/control-node.h"
-#include "figcleat/daemon/loop.h"
-#include "figcleat/daemon/messenger.h"
-#include "figcleat/daemon/node-links.h"
-#include "figcleat/forward/dialect.h"
-#include "figcleat/group/map-controller.h"
-#include "figcleat/http/client.h"
+#include "figcleat/daemon/map-operator.h"
+#include "figcleat/daemon/node-base.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -19,31 +15,36 @@
  * A process with a data folder: takes operators' commands into the replicated log, and registrations of targets into a
  * directory that coordinators share and that fronts copy.
  */
-class coordinator_node : public http_handler, public http_client_handler
+class coordinator_node : public node_base, public http_handler
 {
 public:
-    [[nodiscard]] static expected<std::unique_ptr<coordinator_node>> open(const forward::node_settings &settings,
-                                                                          const forward::dialect &language,
-                                                                          loop &eventLoop, const clock &time,
-                                                                          std::uint64_t random);
-    void drain();
-    void reload(const forward::node_settings &settings);
+    explicit coordinator_node(node_context context);
+
+    [[nodiscard]] expected<void> start() override;
+    void drain() override;
 
 private:
     /** A node that polls this coordinator. */
     struct subscriber
     {
-        incarnation_id incarnation;
         forward::node_role role = forward::node_role::front;
+        data_centre_id dataCentre;
         time_point heard {};
         /** What the node has, as it said or as it was sent since. */
         std::uint64_t directoryVersion = 0;
+        std::uint64_t contactsChecksum = 0;
         revision_number revision;
     };
 
-    coordinator_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
-                     const clock &time, std::uint64_t random);
-    [[nodiscard]] expected<void> start(std::uint64_t random);
+    /** Contacts as they are sent to nodes of one kind. */
+    struct contact_list
+    {
+        forward::node_contacts contacts;
+        std::uint64_t checksum = 0;
+    };
+
+    [[nodiscard]] expected<void> openLog();
+    [[nodiscard]] map_operator::parts mapParts();
 
     // http_handler
     void onRequest(exchange_id exchange, http_request request) override;
@@ -64,64 +65,28 @@
     /** False while this coordinator can reach no other one; what it acknowledged might reach nobody. */
     [[nodiscard]] bool isConnected() const;
 
-    void receive(const envelope &received);
+    void receive(const envelope &received) override;
+    void writeMetrics(report::metrics_text &page) const override;
     void onPoll(const envelope &received, const forward::node_poll &poll);
     void onUpdate(const envelope &received, const forward::node_update &update);
-    void onRankReport(const envelope &received, const forward::rank_report &report);
-    void onRankResult(const forward::rank_result &result);
-    /** True while this coordinator leads and no earlier leader can still act. */
-    [[nodiscard]] bool mayOrder() const;
-    void stepMaps(const group_id &group, const group::map_event &event);
-    /** Calls an engine whose agent does not answer. */
-    void orderDirectly(const group_id &group, const group::send_order &what);
-    void endDirectOrder(attempt_id attempt, group::order_result result);
-    /** Engines that are slow or whose group is broken; fronts are told of changes. */
-    void reviewEngines();
-
-    // http_client_handler, for orders to engines
-    void onAnswerStart(attempt_id attempt, int status, const http_headers &headers) override;
-    void onBytes(attempt_id attempt, std::string_view bytes) override;
-    void onAnswerEnd(attempt_id attempt) override;
-    void onFailure(attempt_id attempt, bool notSent) override;
+    /** Collects the contacts that updates name, once for all of them. */
+    void collectContacts();
     void applyRoutes();
     void publish();
     void update(const peer_address &to, subscriber &who);
     void pollOthers();
     void tick();
 
-    forward::node_settings m_settings;
-    const forward::dialect *m_dialect;
-    loop *m_loop;
-    const clock *m_time;
-    incarnation_id m_incarnation;
-    time_point m_startedAt;
-    std::unique_ptr<messenger> m_messenger;
     std::unique_ptr<control_node> m_control;
     std::unique_ptr<http_server> m_server;
-    coordinator_links m_links;
     forward::target_directory m_directory;
     std::map<peer_address, subscriber> m_subscribers;
     std::map<exchange_id, http_request> m_open;
-    /** Groups whose expert maps this coordinator controls while it leads. */
-    struct group_record
-    {
-        std::unique_ptr<group::map_controller> controller;
-        std::map<group::rank_number, peer_address> agents;
-    };
-    std::map<group_id, group_record> m_groups;
-    struct direct_order
-    {
-        group_id group;
-        group::rank_number rank = 0;
-        group::order_id order;
-        group::order_result result = group::order_result::unknown;
-    };
-    std::map<std::string, std::unique_ptr<http_client>> m_engineClients;
-    std::map<attempt_id, direct_order> m_directOrders;
-    attempt_number m_lastDirectOrder;
-    std::vector<forward::engine_condition> m_engines;
-    std::map<service_id, group::group_model> m_models;
-    std::optional<time_point> m_leadsSince;
+    time_point m_startedAt;
+    map_operator m_maps;
+    contact_list m_frontContacts;
+    contact_list m_otherContacts;
+    std::map<result_code, std::uint64_t> m_commands;
     time_point m_lastTick {};
     bool m_hasLeader = false;
     bool m_stopping = false;
--- /dev/null
+++ b/include/figcleat/daemon/front-metrics.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "figcleat/forward/forwarder.h"
+#include "figcleat/report/metrics-text.h"
+
+#include <map>
+#include <string>
+
+namespace figcleat
+{
+
+/** Counts how requests and attempts ended, for the metrics of a front. */
+class front_metrics
+{
+public:
+    front_metrics();
+
+    void record(const forward::forward_ended &ended);
+    void record(const forward::attempt_note &note);
+    void write(report::metrics_text &page) const;
+
+private:
+    struct outcome
+    {
+        result_code code = result_code::ok;
+        bool isLate = false;
+
+        auto operator<=>(const outcome &) const = default;
+    };
+
+    std::map<outcome, std::uint64_t> m_requests;
+    /** By what happened and what followed. */
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_attempts;
+    report::latency_histogram m_queued;
+    report::latency_histogram m_headers;
+    report::latency_histogram m_firstByte;
+    report::latency_histogram m_whole;
+};
+
+} // namespace figcleat
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "figcleat/daemon/loop.h"
-#include "figcleat/daemon/messenger.h"
-#include "figcleat/daemon/node-links.h"
-#include "figcleat/forward/dialect.h"
+#include "figcleat/daemon/front-metrics.h"
+#include "figcleat/daemon/node-base.h"
+#include "figcleat/forward/load-exchange.h"
 #include "figcleat/http/client.h"
 #include "figcleat/http/server.h"
 
@@ -15,15 +14,14 @@
 {
 
 /** A process that takes callers' requests and forwards them straight to targets. */
-class front_node : public http_handler, public http_client_handler
+class front_node : public node_base, public http_handler, public http_client_handler
 {
 public:
-    [[nodiscard]] static expected<std::unique_ptr<front_node>> open(const forward::node_settings &settings,
-                                                                    const forward::dialect &language, loop &eventLoop,
-                                                                    const clock &time, std::uint64_t random);
-    /** Planned stop: takes no new connections and ends when all answers are sent. */
-    void drain();
-    void reload(const forward::node_settings &settings);
+    explicit front_node(node_context context);
+
+    [[nodiscard]] expected<void> start() override;
+    /** Takes no new connections and ends when all answers are sent. */
+    void drain() override;
 
 private:
     /** Answers the platform's question whether this front may get new connections. */
@@ -39,9 +37,6 @@
         front_node *m_owner;
     };
 
-    front_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop, const clock &time,
-               std::uint64_t random);
-    [[nodiscard]] expected<void> start(std::uint64_t random);
     [[nodiscard]] bool isReady() const;
 
     // http_handler, for callers
@@ -55,12 +50,15 @@
     void onAnswerEnd(attempt_id attempt) override;
     void onFailure(attempt_id attempt, bool notSent) override;
 
-    void receive(const envelope &received);
+    void receive(const envelope &received) override;
+    void writeMetrics(report::metrics_text &page) const override;
     void onUpdate(const envelope &received, const forward::node_update &update);
+    /** Takes over the fronts that coordinators know. */
+    void knowFronts();
     void apply(const agreed::configuration_in_force &configuration);
     void poll();
     void tick();
-    /** Tells the other fronts what this one has at targets, if that has changed or some time has passed. */
+    /** Tells other fronts what this one has at targets, as far as that is due. */
     void shareLoad();
     void stopIfDone();
     void step(const forward::forward_event &event);
@@ -84,13 +82,6 @@
 
     [[nodiscard]] http_client *clientFor(const std::string &address);
 
-    forward::node_settings m_settings;
-    const forward::dialect *m_dialect;
-    loop *m_loop;
-    const clock *m_time;
-    incarnation_id m_incarnation;
-    std::unique_ptr<messenger> m_messenger;
-    coordinator_links m_links;
     readiness_handler m_readinessHandler;
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
@@ -102,10 +93,8 @@
     std::map<attempt_number, open_attempt> m_attempts;
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
-    std::vector<peer_address> m_otherFronts;
-    std::vector<forward::target_use> m_sharedLoad;
-    std::uint64_t m_loadSequence = 0;
-    time_point m_loadSharedAt {};
+    forward::load_exchange m_loads;
+    front_metrics m_counts;
     event *m_shareLater = nullptr;
 };
 
--- a/include/figcleat/daemon/messenger.h
+++ b/include/figcleat/daemon/messenger.h
@@ -3,6 +3,7 @@
 #include "figcleat/core/clock.h"
 #include "figcleat/daemon/loop.h"
 #include "figcleat/daemon/process-message.h"
+#include "figcleat/report/metrics-text.h"
 #include "figcleat/wire/mailbox.h"
 
 #include <functional>
@@ -36,7 +37,7 @@
     [[nodiscard]] std::vector<peer_address> newlySilent(duration limit);
     /** Time since the last message of a peer; none if it was never heard from. */
     [[nodiscard]] std::optional<duration> silenceOf(const peer_address &peer) const;
-    [[nodiscard]] const mailbox_counters &counters() const;
+    void writeMetrics(report::metrics_text &page) const;
     [[nodiscard]] incarnation_id incarnation() const;
     [[nodiscard]] const peer_address &self() const;
 
--- a/include/figcleat/daemon/node-links.h
+++ b/include/figcleat/daemon/node-links.h
@@ -5,6 +5,7 @@
 #include "figcleat/forward/node-settings.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -29,7 +30,9 @@
         /** Version of the coordinator's directory that this node has. */
         std::uint64_t directoryVersion = 0;
         time_point heard {};
-        std::uint32_t fronts = 0;
+        /** Of the contacts that the coordinator sent last; 0 to have them sent again. */
+        std::uint64_t contactsChecksum = 0;
+        std::vector<forward::front_contact> fronts {};
         std::uint64_t term = 0;
         peer_address leader {};
         bool isSeed = false;
@@ -45,14 +48,16 @@
     void forgetSilent(time_point now);
 
     [[nodiscard]] const std::map<peer_address, link> &links() const;
-    /** Addresses of all links and of this node if it is a coordinator. */
+    /** Addresses of all links. */
     [[nodiscard]] std::vector<peer_address> addresses() const;
     /** Coordinators heard within `window`. */
     [[nodiscard]] std::size_t heardWithin(duration window, time_point now) const;
+    /** When a coordinator was heard last; nothing if none was. */
+    [[nodiscard]] std::optional<time_point> lastHeard() const;
     /** Leader of the replicated log as the coordinator with the highest term names it; empty if none is known. */
     [[nodiscard]] peer_address leader(duration window, time_point now) const;
-    /** The most fronts that a coordinator has counted lately; 0 if none has. */
-    [[nodiscard]] std::uint32_t fronts(duration window, time_point now) const;
+    /** Fronts that coordinators heard within `window` know. */
+    [[nodiscard]] std::vector<forward::front_contact> fronts(duration window, time_point now) const;
 
 private:
     void add(const peer_address &address, bool isSeed, time_point now);
--- a/include/figcleat/daemon/service-levels.h
+++ b/include/figcleat/daemon/service-levels.h
@@ -3,6 +3,7 @@
 #include "figcleat/report/burn.h"
 #include "figcleat/report/latency-histogram.h"
 #include "figcleat/report/merge.h"
+#include "figcleat/report/metrics-text.h"
 #include "figcleat/report/service-level.h"
 #include "figcleat/request/events.h"
 
@@ -30,8 +31,8 @@
     void keep(report::service_level_summary summary, time_point now);
     /** The own record and all copies. */
     [[nodiscard]] std::vector<report::service_level_summary> held(time_point now);
-    /** Latency of all requests that ended, in the usual text format of metrics. */
-    [[nodiscard]] std::string metrics() const;
+    /** Latency of all requests that ended. */
+    void writeMetrics(report::metrics_text &page) const;
 
 private:
     struct copy
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -63,8 +63,6 @@
     bool isSpoiled = false;
     bool isEventStream = false;
     std::optional<target_load> load;
-    /** Address of the target that is to blame for a refusal. */
-    std::string culprit;
 };
 
 /** One attempt to run a request at a target. */
@@ -188,6 +186,8 @@
     int status = 0;
     std::uint32_t attempts = 0;
     duration queued {};
+    /** From the start of the last attempt to the start of its answer, the connection included. */
+    duration headers {};
     duration firstByte {};
     duration whole {};
     /** Longest pause between two events of a stream. */
@@ -209,7 +209,7 @@
 using forward_action = std::variant<start_attempt, cancel_attempt, refuse_request, pass_answer, start_event_stream,
                                     send_events, end_event_stream, break_answer, forward_ended, attempt_note>;
 
-/** Load of a service that answers with streams, as this node sees it. */
+/** Load of a service as this node sees it. */
 struct service_load
 {
     service_id service;
@@ -221,6 +221,9 @@
     /** Pauses in streams as a part of the longest allowed one. */
     double pause = 0;
     std::size_t waiting = 0;
+    /** Repeats since the start of this node, and those that the budget still allows. */
+    std::uint64_t repeats = 0;
+    std::uint64_t repeatsLeft = 0;
 };
 
 struct forwarder_settings
@@ -252,11 +255,11 @@
 
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setNodeCount(std::uint32_t nodes);
-    void stop();
     [[nodiscard]] target_pool &pool();
     [[nodiscard]] std::size_t requestsInProgress() const;
     [[nodiscard]] bool hasRoutes() const;
-    /** State of the services that answer with streams, for logs. */
+    [[nodiscard]] std::uint32_t nodeCount() const;
+    /** State of the services that got requests, for logs and metrics. */
     [[nodiscard]] std::vector<service_load> loadSummary(time_point now) const;
 
 private:
@@ -286,6 +289,7 @@
         /** Latest time to wait for room at a target. */
         time_point waitUntil {};
         std::optional<time_point> firstSent;
+        duration headers {};
         std::optional<time_point> firstByte;
         time_point lastEvent {};
         duration longestPause {};
@@ -345,7 +349,6 @@
     target_pool m_pool;
     std::shared_ptr<const route_index> m_routes;
     std::uint32_t m_nodes;
-    bool m_stopping = false;
     time_point m_now {};
     std::mt19937_64 m_random;
     attempt_number m_lastAttempt;
@@ -360,6 +363,7 @@
     };
     std::map<service_id, start_rate> m_starts;
     std::map<service_id, request::retry_budget> m_budgets;
+    std::map<service_id, std::uint64_t> m_repeats;
     /** Of services that answer with streams. */
     std::map<service_id, pace_controller> m_paces;
     std::vector<forward_action> m_actions;
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -20,18 +20,43 @@
     agent,
 };
 
+/** A node that forwards requests, as coordinators know it. */
+struct front_contact
+{
+    peer_address address {};
+    data_centre_id dataCentre {};
+
+    auto operator<=>(const front_contact &) const = default;
+    MSGPACK_DEFINE(address, dataCentre)
+};
+
+/** The nodes that a coordinator knows. */
+struct node_contacts
+{
+    /** Coordinators, the sender included. */
+    std::vector<peer_address> coordinators {};
+    /** Fronts that have polled lately; only for fronts. */
+    std::vector<front_contact> fronts {};
+
+    bool operator==(const node_contacts &) const = default;
+    MSGPACK_DEFINE(coordinators, fronts)
+};
+
 /** Asks a coordinator for what has changed; sent on a period, so that a lost update is made good. */
 struct node_poll
 {
     vm_id vm;
+    data_centre_id dataCentre;
     node_role role = node_role::front;
     /** Life of the coordinator to which `directoryVersion` belongs. */
     incarnation_id coordinator;
     /** Version of the coordinator's directory that the node has. */
     std::uint64_t directoryVersion = 0;
+    /** Checksum of the contacts of that coordinator that the node has. */
+    std::uint64_t contactsChecksum = 0;
     revision_number revision;
 
-    MSGPACK_DEFINE(vm, role, coordinator, directoryVersion, revision)
+    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision)
 };
 
 /** A model engine that cannot be used like a sound one. */
@@ -57,22 +82,19 @@
     std::vector<registration> changes;
     /** Configuration in force, if the node has an older one. */
     std::vector<agreed::configuration_in_force> configuration;
-    /** Coordinators that this one knows, itself included. */
-    std::vector<peer_address> coordinators;
+    /** Contacts, if the node has others; they are long and change seldom. */
+    std::vector<node_contacts> contacts;
+    std::uint64_t contactsChecksum = 0;
     /** Leader of the replicated log; empty if not known. */
     peer_address leader;
     /** Term of the log at the sender. */
     std::uint64_t term = 0;
-    /** Nodes that forward requests and have polled lately. */
-    std::uint32_t fronts = 0;
-    /** Their mailboxes; only for fronts. */
-    std::vector<peer_address> frontAddresses;
     /** True if the sender leads the log and so hears the agents; then `engines` replaces earlier lists. */
     bool knowsEngines = false;
     /** Engines that are slow or whose group is broken. */
     std::vector<engine_condition> engines;
 
-    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, coordinators, leader, term, fronts, frontAddresses,
+    MSGPACK_DEFINE(directoryVersion, since, changes, configuration, contacts, contactsChecksum, leader, term,
                    knowsEngines, engines)
 };
 
@@ -88,13 +110,22 @@
     MSGPACK_DEFINE(target, requests, prompts)
 };
 
-/** What a node has at targets, for the other nodes that forward; replaces its earlier messages. */
+enum class load_scope : std::uint8_t {
+    /** Of the sender alone. */
+    node,
+    /** Of all fronts in the sender's data centre. */
+    data_centre,
+    /** Of all fronts but the receiver. */
+    others,
+};
+
+/** What fronts have at targets; replaces the sender's earlier message of the same scope. */
 struct node_load
 {
-    std::uint64_t sequence = 0;
+    load_scope scope = load_scope::node;
     std::vector<target_use> uses;
 
-    MSGPACK_DEFINE(sequence, uses)
+    MSGPACK_DEFINE(scope, uses)
 };
 
 /** State of the rank beside an agent, for the leader of the replicated log. */
@@ -126,3 +157,4 @@
 } // namespace figcleat::forward
 
 MSGPACK_ADD_ENUM(figcleat::forward::node_role)
+MSGPACK_ADD_ENUM(figcleat::forward::load_scope)
--- a/include/figcleat/forward/node-settings.h
+++ b/include/figcleat/forward/node-settings.h
@@ -40,6 +40,8 @@
     socket_address listen;
     /** Where the platform asks whether a front is ready. */
     std::optional<socket_address> readiness;
+    /** Where metrics are served, if anywhere. */
+    std::optional<socket_address> metrics;
     /** Mailboxes of some coordinators. */
     std::vector<peer_address> seeds;
     /** Port on which every coordinator is called. */
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -86,8 +87,8 @@
 
     /** @param readsPrompt the target reads a prompt until `onProgress` */
     void onStarted(const target_id &target, bool readsPrompt);
-    /** What another node has at targets. */
-    void setPeerLoad(const peer_address &peer, const node_load &load, time_point now);
+    /** What all other nodes have at targets; nothing if it is not known. */
+    void setOthers(const std::optional<std::vector<target_use>> &uses);
     /** What this node has at targets. */
     [[nodiscard]] std::vector<target_use> ownLoad() const;
     /** @param readsPrompt there was no `onProgress` with the prompt read */
@@ -97,8 +98,6 @@
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
     void onLoad(const target_id &target, const target_load &load, time_point now);
-    /** Another target was named as the cause of a failure. */
-    void onBlamed(const target_id &target, time_point now);
 
     /** A target that delays the others of its group so much that its streams are better moved. */
     [[nodiscard]] bool isSlow(const target_id &target, time_point now) const;
@@ -122,7 +121,7 @@
         double pace = 1;
         /** Requests of this node whose prompt is being read. */
         std::uint32_t prompts = 0;
-        /** The same of other nodes, as they said last. */
+        /** The same of other nodes, if they are heard. */
         std::uint32_t peerRequests = 0;
         std::uint32_t peerPrompts = 0;
         /** Requests of other nodes at the target as last reported, and when. */
@@ -142,7 +141,6 @@
     [[nodiscard]] double load(const target_record &record, time_point now) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
-    void sumPeers(time_point now);
     [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
     /** A cold target bears a bounded rate of requests; refills the tokens of this node's share. */
     [[nodiscard]] bool hasColdToken(const directory_entry &entry, target_record &record, time_point now) const;
@@ -156,12 +154,6 @@
     time_point m_enginesHeard {};
     std::unordered_map<target_id, target_record> m_records;
     std::mt19937_64 m_random;
-    struct peer_record
-    {
-        node_load load;
-        time_point heard {};
-    };
-    std::map<peer_address, peer_record> m_peers;
     bool m_hasPeers = false;
 };
 
--- a/include/figcleat/group/engine-rank.h
+++ b/include/figcleat/group/engine-rank.h
@@ -45,13 +45,17 @@
     step_number held {};
     /** Experts of this rank under `map`. */
     expert_lists experts {};
-    /** How often each expert was chosen by this rank's requests since its start; empty if not read. */
+    /** How often each expert was chosen by this rank's requests since the last report with choices; empty if not read.
+     */
     expert_lists chosen {};
 
     MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held,
                    experts, chosen)
 };
 
+/** Choices between two readings of counts that only grow; 0 for a count that fell, as after a restart. */
+[[nodiscard]] expert_lists chosenSince(const expert_lists &latest, const expert_lists &earlier);
+
 enum class rank_operation : std::uint8_t {
     /** Load the experts of a map that the rank lacks. */
     prepare,
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -100,6 +100,8 @@
     /** Load of the busiest rank over the mean with the present map, as of the latest counts; 0 if not known. */
     [[nodiscard]] double skew() const;
     [[nodiscard]] std::uint64_t switches() const;
+    /** Highest version that a rank reported to use. */
+    [[nodiscard]] map_version mapInUse() const;
 
 private:
     struct rank_state
@@ -117,15 +119,13 @@
         bool agentSilent = false;
         /** The rank refused the last order; the next report tells why. */
         bool refused = false;
-        /** Counts at the last report, to find what was chosen since. */
-        expert_lists lastChosen;
     };
 
     void handle(const rank_reported &event);
     void handle(const order_answered &event);
     void handle(const map_tick &event);
     void restart(const engine_rank_status &status);
-    void learnChosen(rank_state &rank, const expert_lists &chosen);
+    void learnChosen(const expert_lists &chosen);
     [[nodiscard]] bool isComplete() const;
     [[nodiscard]] bool areFresh(duration window) const;
     [[nodiscard]] bool isClean() const;
--- a/include/figcleat/request/retry-budget.h
+++ b/include/figcleat/request/retry-budget.h
@@ -27,6 +27,8 @@
     void firstAttempt(time_point now);
     /** Takes one retry; false means retry_budget_spent. */
     [[nodiscard]] bool takeRetry(time_point now);
+    /** Retries that are allowed now. */
+    [[nodiscard]] std::uint64_t left(time_point now) const;
 
 private:
     static constexpr std::size_t slices = 20;
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -2,6 +2,7 @@
 
 #include "figcleat/cli/operator-client.h"
 #include "figcleat/cli/tables.h"
+#include "figcleat/core/process.h"
 #include "figcleat/settings/configuration.h"
 
 #include <boost/program_options.hpp>
@@ -59,9 +60,7 @@
 
 int report(const error &problem)
 {
-    const auto &info = describe(problem.code);
-    std::cerr << "figcleat: " << problem.detail << " (" << static_cast<int>(problem.code) << " " << info.name << ")\n";
-    return info.exitStatus;
+    return reportProblem("figcleat", problem);
 }
 
 template<typename T>
--- /dev/null
+++ b/src/core/process.cc
@@ -0,0 +1,30 @@
+#include "figcleat/core/process.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace figcleat
+{
+
+int reportProblem(std::string_view program, const error &problem)
+{
+    const auto &info = describe(problem.code);
+    std::cerr << program << ": " << problem.detail << " (" << static_cast<int>(problem.code) << " " << info.name
+              << ")\n";
+    return info.exitStatus;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device source;
+    return (std::uint64_t { source() } << 32U) | source();
+}
+
+void ignoreWriteSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
+}
+
+} // namespace figcleat
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -3,6 +3,9 @@
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace figcleat
 {
 
@@ -13,11 +16,11 @@
 constexpr duration pollPeriod = std::chrono::milliseconds(1000);
 /** Period of reports; a leader needs them fresh for a switch of maps. */
 constexpr duration watchPeriod = std::chrono::milliseconds(200);
-/** Choices are read with every so many reports; demand shifts within seconds. */
-constexpr std::uint64_t watchesPerRead = 1;
+/** Counts that are read with each report on average; a count takes 1 to 2 bytes on the way to the leader. */
+constexpr std::size_t countsPerReport = 500;
+constexpr std::uint64_t maxWatchesPerReading = 10;
 /** While the rank loads experts, the leader waits for the end. */
 constexpr duration loadingWatchPeriod = std::chrono::milliseconds(50);
-constexpr duration coordinatorSilence = std::chrono::milliseconds(2500);
 /** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
 constexpr duration engineTimeout = std::chrono::milliseconds(50);
 
@@ -26,39 +29,33 @@
     return logFor(part::group);
 }
 
-} // namespace
-
-expected<std::unique_ptr<agent_node>> agent_node::open(const forward::node_settings &settings,
-                                                       const forward::dialect &language, loop &eventLoop,
-                                                       const clock &time, std::uint64_t random)
+std::string_view nameOf(group::order_result result)
 {
-    auto opened = std::unique_ptr<agent_node>(new agent_node(settings, language, eventLoop, time, random));
-    if (const auto started = opened->start(); !started) {
-        return tl::unexpected<error>(started.error());
+    switch (result) {
+    case group::order_result::accepted:
+        return "accepted";
+    case group::order_result::refused:
+        return "refused";
+    case group::order_result::unknown:
+        return "unanswered";
     }
-    return opened;
+    return "";
 }
 
-agent_node::agent_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
-                       const clock &time, std::uint64_t random)
-    : m_settings(std::move(settings))
-    , m_dialect(&language)
-    , m_loop(&eventLoop)
-    , m_time(&time)
-    , m_incarnation { random | 1U }
-    , m_links(m_settings.seeds, {}, time.now())
+} // namespace
+
+agent_node::agent_node(node_context context)
+    : node_base(std::move(context))
+    // Agents start together; their readings should not come together.
+    , m_watches(m_random % maxWatchesPerReading)
 {
 }
 
 expected<void> agent_node::start()
 {
-    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
-    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
-                                    [this](const envelope &received) { receive(received); });
-    if (!messages) {
-        return tl::unexpected<error>(messages.error());
+    if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
+        return opened;
     }
-    m_messenger = std::move(*messages);
     const http_client_settings client { .connectTimeout = engineTimeout,
                                         .firstByteTimeout = engineTimeout,
                                         .progressTimeout = engineTimeout,
@@ -84,11 +81,21 @@
     m_loop->stop();
 }
 
-void agent_node::reload(const forward::node_settings &settings)
+void agent_node::writeMetrics(report::metrics_text &page) const
 {
-    m_settings.seeds = settings.seeds;
-    m_links.setSeeds(settings.seeds, m_time->now());
-    logger()->info("event=reload seeds={}", settings.seeds.size());
+    page.counter("figcleat_rank_reports_total", "Reports of the rank's state to the leader.", {}, m_reports);
+    page.counter("figcleat_engine_failures_total", "Calls to the engine without an answer.", {}, m_engineFailures);
+    for (const auto &[result, count] : m_orders) {
+        page.counter("figcleat_rank_orders_total", "Orders passed on to the engine.",
+                     fmt::format("result=\"{}\"", nameOf(result)), count);
+    }
+    if (m_status) {
+        page.gauge("figcleat_map_version", "Version of the expert map that the rank uses.", {},
+                   static_cast<double>(m_status->map.value));
+        page.gauge("figcleat_rank_pace", "Time that the rank takes for its work relative to a sound one.", {},
+                   m_status->pace);
+        page.gauge("figcleat_group_open", "1 while the group of the rank is open.", {}, m_status->isOpen ? 1 : 0);
+    }
 }
 
 void agent_node::call(const service_call &what, answer_function onAnswer)
@@ -127,6 +134,7 @@
     }
     const auto done = std::move(found->second);
     m_calls.erase(found);
+    m_engineFailures += isWhole ? 0 : 1;
     done.onAnswer(isWhole ? done.status : 0, done.body);
 }
 
@@ -154,6 +162,7 @@
     const auto order = command.order;
     call(m_dialect->orderCall(order), [this, order](int status, const std::string &body) {
         const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
+        ++m_orders[result];
         logger()->info("event=order op={} version={} step={} expected={} status={} answer={}",
                        static_cast<int>(order.operation), order.version.value, order.step.value, order.expectedOrders,
                        status, result == group::order_result::refused ? body : "");
@@ -168,19 +177,15 @@
 
 void agent_node::poll()
 {
-    m_links.forgetSilent(m_time->now());
     m_messenger->tick();
-    for (const auto &[address, link] : m_links.links()) {
-        // An agent needs neither targets nor configuration, so it says that it has them all.
-        m_messenger->send(address,
-                          forward::node_poll {
-                              m_settings.vm, forward::node_role::agent, link.incarnation, link.directoryVersion, {} });
-    }
+    // An agent needs neither targets nor configuration; coordinators send it contacts and the leader only.
+    pollCoordinators({});
 }
 
 void agent_node::watch()
 {
     ++m_watches;
+    m_choicesDue = m_watches % watchesPerReading() == 0;
     readStatus();
 }
 
@@ -222,7 +227,7 @@
     }
     if (m_status->experts.empty()) {
         readLists();
-    } else if (m_watches % watchesPerRead == 0) {
+    } else if (std::exchange(m_choicesDue, false)) {
         readChosen();
     } else {
         report();
@@ -249,15 +254,28 @@
     call(m_dialect->expertsCall(false), [this](int /*status*/, const std::string &body) {
         if (const auto decoded = m_dialect->decodeChosen(body, m_status->experts.size(), *m_status); !decoded) {
             logger()->warn("event=choices_unreadable reason={}", decoded.error().detail);
+        } else {
+            auto since = group::chosenSince(m_status->chosen, m_lastChosen);
+            m_lastChosen = std::exchange(m_status->chosen, std::move(since));
         }
         report();
         m_status->chosen.clear();
     });
 }
 
+std::uint64_t agent_node::watchesPerReading() const
+{
+    std::size_t counts = 0;
+    for (const auto &set : m_lastChosen) {
+        counts += set.size();
+    }
+    return std::clamp<std::uint64_t>(counts / countsPerReport, 1, maxWatchesPerReading);
+}
+
 void agent_node::report()
 {
     m_reportedAt = m_time->now();
+    ++m_reports;
     const auto leader = m_links.leader(coordinatorSilence, m_reportedAt);
     if (!leader.empty()) {
         m_messenger->send(leader, forward::rank_report { *m_status });
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -1,10 +1,12 @@
 #include "figcleat/daemon/coordinator-node.h"
 
+#include "figcleat/core/digest.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 #include "figcleat/wire/codec.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace figcleat
 {
@@ -22,22 +24,10 @@
 /** After its start, time in which a coordinator finds the others. */
 constexpr duration startPeriod = std::chrono::seconds(2);
 constexpr std::size_t maxSubscribers = 4096;
-/** A new leader orders nothing until its predecessor has stepped down, which takes `consensus::quorumTimeout`. */
-constexpr duration takeoverPeriod = std::chrono::seconds(2);
-static_assert(takeoverPeriod > consensus::quorumTimeout);
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
-constexpr std::size_t maxGroups = 256;
-/** An engine answers within milliseconds, or has lost the answer. */
-constexpr duration engineTimeout = std::chrono::milliseconds(120);
-/** Reports come every 200 ms; one that is older says nothing of the engine now. */
-constexpr duration reportSilence = std::chrono::milliseconds(1500);
-/** Below it an engine is as good as the others. */
-constexpr double slowPace = 1.25;
-/** Fronts that share their load with each other; more would cost more messages than a node may send. */
-constexpr std::size_t maxFrontsNamed = 64;
-/** Versions of maps in one term; a later term begins above all versions of an earlier one. */
-constexpr std::uint64_t versionsPerTerm = 1'000'000;
+/** Fronts that are named to fronts, about 35 bytes each. */
+constexpr std::size_t maxFrontsNamed = 1024;
 
 auto logger()
 {
@@ -46,38 +36,28 @@
 
 } // namespace
 
-expected<std::unique_ptr<coordinator_node>> coordinator_node::open(const forward::node_settings &settings,
-                                                                   const forward::dialect &language, loop &eventLoop,
-                                                                   const clock &time, std::uint64_t random)
+coordinator_node::coordinator_node(node_context context)
+    : node_base(std::move(context))
+    , m_startedAt(now())
+    , m_maps(mapParts())
 {
-    auto opened = std::unique_ptr<coordinator_node>(new coordinator_node(settings, language, eventLoop, time, random));
-    if (const auto started = opened->start(random); !started) {
-        return tl::unexpected<error>(started.error());
-    }
-    return opened;
 }
 
-coordinator_node::coordinator_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
-                                   const clock &time, std::uint64_t random)
-    : m_settings(std::move(settings))
-    , m_dialect(&language)
-    , m_loop(&eventLoop)
-    , m_time(&time)
-    , m_incarnation { random | 1U }
-    , m_startedAt(time.now())
-    , m_links(m_settings.seeds, { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) }, time.now())
+map_operator::parts coordinator_node::mapParts()
 {
+    map_operator::parts wiring;
+    wiring.eventLoop = m_loop;
+    wiring.time = m_time;
+    wiring.language = m_dialect;
+    wiring.incarnation = m_incarnation;
+    wiring.send
+        = [this](const peer_address &to, forward::rank_command command) { m_messenger->send(to, std::move(command)); };
+    wiring.onEnginesChanged = [this] { publish(); };
+    return wiring;
 }
 
-expected<void> coordinator_node::start(std::uint64_t random)
+expected<void> coordinator_node::openLog()
 {
-    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
-    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
-                                    [this](const envelope &received) { receive(received); });
-    if (!messages) {
-        return tl::unexpected<error>(messages.error());
-    }
-    m_messenger = std::move(*messages);
     control_settings own;
     own.dataFolder = m_settings.dataFolder;
     own.voters = m_settings.seeds;
@@ -94,11 +74,20 @@
         applyRoutes();
         publish();
     };
-    auto control = control_node::open(own, self, random, std::move(wiring));
+    auto control = control_node::open(own, m_self, m_random, std::move(wiring));
     if (!control) {
         return tl::unexpected<error>(control.error());
     }
     m_control = std::move(*control);
+    return {};
+}
+
+expected<void> coordinator_node::start()
+{
+    auto opened = openMailbox().and_then([this] { return openMetrics(); }).and_then([this] { return openLog(); });
+    if (!opened) {
+        return opened;
+    }
     http_limits limits;
     limits.bodyBytes = maxMessageBytes;
     auto server = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, limits, *this);
@@ -106,11 +95,35 @@
         return tl::unexpected<error>(server.error());
     }
     m_server = std::move(*server);
+    collectContacts();
     m_loop->every(tickPeriod, [this] { tick(); });
     m_loop->every(pollPeriod, [this] { pollOthers(); });
     return {};
 }
 
+void coordinator_node::writeMetrics(report::metrics_text &page) const
+{
+    const auto log = m_control->status();
+    page.gauge("figcleat_log_term", "Term of the replicated log.", {}, static_cast<double>(log.term.value));
+    page.gauge("figcleat_log_leads", "1 if this coordinator leads the replicated log.", {},
+               log.role == consensus::raft_role::leader ? 1 : 0);
+    page.gauge("figcleat_log_has_leader", "1 if a leader of the replicated log is known.", {}, log.leader ? 1 : 0);
+    const auto &held = m_control->state().configuration();
+    page.gauge("figcleat_configuration_version", "Version of the configuration in force.", {},
+               static_cast<double>(held.number));
+    page.gauge("figcleat_configuration_revision", "Revision of the agreed state.", {},
+               static_cast<double>(held.revision.value));
+    page.gauge("figcleat_targets", "Registrations that are known.", {},
+               static_cast<double>(m_directory.entries().size()));
+    page.gauge("figcleat_subscribers", "Nodes that poll this coordinator.", {},
+               static_cast<double>(m_subscribers.size()));
+    for (const auto &[code, count] : m_commands) {
+        page.counter("figcleat_commands_total", "Operators' commands that were decided here.",
+                     fmt::format("code=\"{}\",name=\"{}\"", static_cast<int>(code), describe(code).name), count);
+    }
+    m_maps.writeMetrics(page);
+}
+
 void coordinator_node::drain()
 {
     logger()->info("event=stop calls={}", m_open.size());
@@ -119,13 +132,6 @@
     m_server->closeAfterAnswers();
 }
 
-void coordinator_node::reload(const forward::node_settings &settings)
-{
-    m_settings.seeds = settings.seeds;
-    m_links.setSeeds(settings.seeds, m_time->now());
-    logger()->info("event=reload seeds={}", settings.seeds.size());
-}
-
 void coordinator_node::onRequest(exchange_id exchange, http_request request)
 {
     auto call = m_dialect->decodeCall(request);
@@ -261,6 +267,7 @@
         const result_code decided = code != result_code::ok ? code : (isOvertaken ? result_code::ok : result.code);
         logger()->info("event=command code={} revision={} overtaken={} detail={}", describe(decided).name,
                        result.revision.value, isOvertaken, result.detail);
+        ++m_commands[decided];
         answer(exchange, { .code = decided, .detail = result.detail });
     });
 }
@@ -286,8 +293,13 @@
                    [&](const consensus::raft_message &message) { m_control->receive(received.from, message); },
                    [&](const forward::node_poll &poll) { onPoll(received, poll); },
                    [&](const forward::node_update &update) { onUpdate(received, update); },
-                   [&](const forward::rank_report &report) { onRankReport(received, report); },
-                   [&](const forward::rank_result &result) { onRankResult(result); },
+                   [&](const forward::rank_report &report) {
+                       if (now() - m_lastTick > suspendedPause) {
+                           tick();
+                       }
+                       m_maps.receive(received.from, report);
+                   },
+                   [&](const forward::rank_result &result) { m_maps.receive(result); },
                    [](const auto &) {},
                },
                received.message);
@@ -302,9 +314,18 @@
     if (poll.role == forward::node_role::coordinator) {
         m_links.onCoordinatorPoll(received.from, m_time->now());
     }
+    const bool isSameLife = poll.coordinator == m_incarnation;
+    const bool isNew = !m_subscribers.contains(received.from);
     auto &who = m_subscribers[received.from];
-    who = { received.incarnation, poll.role, m_time->now(),
-            poll.coordinator == m_incarnation ? poll.directoryVersion : 0, poll.revision };
+    who = { poll.role,
+            poll.dataCentre,
+            m_time->now(),
+            isSameLife ? poll.directoryVersion : 0,
+            isSameLife ? poll.contactsChecksum : 0,
+            poll.revision };
+    if (isNew) {
+        collectContacts();
+    }
     update(received.from, who);
 }
 
@@ -312,6 +333,7 @@
 {
     const auto filter = who.role == forward::node_role::coordinator ? forward::change_filter::touched
                                                                     : forward::change_filter::changed;
+    const bool isFront = who.role == forward::node_role::front;
     forward::node_update message;
     message.directoryVersion = m_directory.version();
     message.since = who.directoryVersion;
@@ -319,29 +341,42 @@
         message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
     }
     const auto &held = m_control->state().configuration();
-    if (who.role == forward::node_role::front && held.revision > who.revision) {
+    if (isFront && held.revision > who.revision) {
         message.configuration.push_back(held);
     }
-    message.coordinators = m_links.addresses();
-    message.knowsEngines = who.role == forward::node_role::front && mayOrder();
+    const auto &known = isFront ? m_frontContacts : m_otherContacts;
+    message.contactsChecksum = known.checksum;
+    if (who.contactsChecksum != known.checksum) {
+        message.contacts.push_back(known.contacts);
+    }
+    message.knowsEngines = isFront && m_maps.mayOrder();
     if (message.knowsEngines) {
-        message.engines = m_engines;
+        message.engines = m_maps.engines();
     }
     const auto log = m_control->status();
     message.leader = log.leader.value_or(peer_address {});
     message.term = log.term.value;
-    for (const auto &[address, one] : m_subscribers) {
-        const bool counts = one.role == forward::node_role::front && m_time->now() - one.heard < subscriberSilence;
-        message.fronts += counts ? 1 : 0;
-        if (counts && who.role == forward::node_role::front && message.frontAddresses.size() < maxFrontsNamed) {
-            message.frontAddresses.push_back(address);
-        }
-    }
     who.directoryVersion = message.directoryVersion;
+    who.contactsChecksum = known.checksum;
     who.revision = std::max(who.revision, held.revision);
     m_messenger->send(to, std::move(message));
 }
 
+void coordinator_node::collectContacts()
+{
+    forward::node_contacts all;
+    all.coordinators = m_links.addresses();
+    all.coordinators.push_back(m_self);
+    m_otherContacts = { all, checksum(encode(all)) };
+    for (const auto &[address, one] : m_subscribers) {
+        const bool counts = one.role == forward::node_role::front && now() - one.heard < subscriberSilence;
+        if (counts && all.fronts.size() < maxFrontsNamed) {
+            all.fronts.push_back({ address, one.dataCentre });
+        }
+    }
+    m_frontContacts = { all, checksum(encode(all)) };
+}
+
 void coordinator_node::applyRoutes()
 {
     const auto routes = m_dialect->decodeRoutes(m_control->state().configuration().content);
@@ -355,148 +390,7 @@
             models.emplace(one.name, *one.groups);
         }
     }
-    if (models != m_models) {
-        m_models = std::move(models);
-        m_groups.clear();
-    }
-}
-
-bool coordinator_node::mayOrder() const
-{
-    return m_leadsSince && m_time->now() - *m_leadsSince >= takeoverPeriod;
-}
-
-void coordinator_node::onRankReport(const envelope &received, const forward::rank_report &report)
-{
-    if (m_time->now() - m_lastTick > suspendedPause) {
-        tick();
-    }
-    const auto model = m_models.find(report.status.service);
-    const bool isKnown = m_groups.contains(report.status.group) || m_groups.size() < maxGroups;
-    if (!mayOrder() || model == m_models.end() || !isKnown) {
-        return;
-    }
-    auto &record = m_groups[report.status.group];
-    if (!record.controller) {
-        record.controller = std::make_unique<group::map_controller>(
-            group::map_controller_settings { model->second, m_control->status().term.value * versionsPerTerm + 1 });
-    }
-    record.agents[report.status.rank] = received.from;
-    stepMaps(report.status.group, group::rank_reported { report.status });
-}
-
-void coordinator_node::onRankResult(const forward::rank_result &result)
-{
-    if (mayOrder()) {
-        stepMaps(result.group, group::order_answered { result.rank, result.answer });
-    }
-}
-
-void coordinator_node::stepMaps(const group_id &group, const group::map_event &event)
-{
-    const auto found = m_groups.find(group);
-    if (found == m_groups.end()) {
-        return;
-    }
-    auto &record = found->second;
-    const std::uint64_t term = m_control->status().term.value;
-    for (auto &action : record.controller->step(event, m_time->now())) {
-        std::visit(
-            overloaded {
-                [&](group::send_order &what) {
-                    if (what.directly) {
-                        orderDirectly(group, what);
-                        return;
-                    }
-                    m_messenger->send(record.agents[what.rank], forward::rank_command { term, std::move(what.order) });
-                },
-                [&](const group::map_note &what) {
-                    logFor(part::group)->info("event=map group={} term={} {}", group.value, term, what.what);
-                },
-            },
-            action);
-    }
-}
-
-void coordinator_node::orderDirectly(const group_id &group, const group::send_order &what)
-{
-    const auto reports = m_groups.at(group).controller->reports(duration::max(), m_time->now());
-    const auto rank = std::find_if(reports.begin(), reports.end(),
-                                   [&what](const auto &status) { return status.rank == what.rank; });
-    const auto address = rank == reports.end() ? std::nullopt : parseSocketAddress(rank->address);
-    if (!address) {
-        logFor(part::group)->error("event=direct_order group={} rank={} reason=no_address", group.value, what.rank);
-        return;
-    }
-    auto &client = m_engineClients[rank->address];
-    if (!client) {
-        const http_client_settings settings { .connectTimeout = engineTimeout,
-                                              .firstByteTimeout = engineTimeout,
-                                              .progressTimeout = engineTimeout,
-                                              .endOfConnectionIsEnd = false,
-                                              .keepHost = false,
-                                              .keepAlive = false };
-        client = std::make_unique<http_client>(m_loop->base(), address->ip, address->port, settings, *this);
-    }
-    logFor(part::group)
-        ->warn("event=direct_order group={} rank={} op={} version={} step={}", group.value, what.rank,
-               static_cast<int>(what.order.operation), what.order.version.value, what.order.step.value);
-    m_lastDirectOrder = m_lastDirectOrder.next();
-    const attempt_id attempt { m_incarnation, m_lastDirectOrder };
-    m_directOrders[attempt] = { group, what.rank, what.order.id, group::order_result::unknown };
-    client->start(attempt, m_dialect->orderCall(what.order));
-}
-
-void coordinator_node::onAnswerStart(attempt_id attempt, int status, const http_headers & /*headers*/)
-{
-    m_directOrders[attempt].result = m_dialect->decodeOrderResult(status);
-}
-
-void coordinator_node::onBytes(attempt_id /*attempt*/, std::string_view /*bytes*/)
-{
-}
-
-void coordinator_node::onAnswerEnd(attempt_id attempt)
-{
-    endDirectOrder(attempt, m_directOrders[attempt].result);
-}
-
-void coordinator_node::onFailure(attempt_id attempt, bool /*notSent*/)
-{
-    endDirectOrder(attempt, group::order_result::unknown);
-}
-
-void coordinator_node::endDirectOrder(attempt_id attempt, group::order_result result)
-{
-    const auto found = m_directOrders.find(attempt);
-    if (found == m_directOrders.end()) {
-        return;
-    }
-    const auto done = std::move(found->second);
-    m_directOrders.erase(found);
-    onRankResult({ done.group, done.rank, { done.order, result } });
-}
-
-void coordinator_node::reviewEngines()
-{
-    std::vector<forward::engine_condition> engines;
-    for (const auto &[id, record] : m_groups) {
-        const auto reports = record.controller->reports(reportSilence, m_time->now());
-        const bool isOpen = std::all_of(reports.begin(), reports.end(), [](const auto &one) { return one.isOpen; });
-        for (const auto &one : reports) {
-            if (!isOpen || one.pace >= slowPace) {
-                engines.push_back({ one.address, isOpen, one.pace });
-            }
-        }
-    }
-    if (engines != m_engines) {
-        m_engines = std::move(engines);
-        logFor(part::group)
-            ->warn("event=engines_impaired count={} first={} open={} pace={:.1f}", m_engines.size(),
-                   m_engines.empty() ? "" : m_engines.front().address, m_engines.empty() || m_engines.front().isOpen,
-                   m_engines.empty() ? 1.0 : m_engines.front().pace);
-        publish();
-    }
+    m_maps.setModels(std::move(models));
 }
 
 void coordinator_node::publish()
@@ -524,15 +418,11 @@
 void coordinator_node::pollOthers()
 {
     const time_point now = m_time->now();
-    m_links.forgetSilent(now);
     std::erase_if(m_subscribers,
                   [now](const auto &entry) { return now - entry.second.heard >= coordinator_links::forgetAfter; });
     m_control->learnContacts(m_links.addresses());
-    for (const auto &[address, link] : m_links.links()) {
-        m_messenger->send(address,
-                          forward::node_poll { m_settings.vm, forward::node_role::coordinator, link.incarnation,
-                                               link.directoryVersion, m_control->state().configuration().revision });
-    }
+    collectContacts();
+    pollCoordinators(m_control->state().configuration().revision);
     if (m_directory.expire(now)) {
         logger()->warn("event=target_expired targets={}", m_directory.entries().size());
         publish();
@@ -550,17 +440,10 @@
     m_lastTick = m_time->now();
     m_messenger->tick();
     m_control->tick();
-    const bool leads = m_control->status().role == consensus::raft_role::leader;
-    if (leads != m_leadsSince.has_value()) {
-        m_leadsSince = leads ? std::optional(m_lastTick) : std::nullopt;
-        m_groups.clear();
-    }
-    if (mayOrder()) {
-        for (const auto &entry : m_groups) {
-            stepMaps(entry.first, group::map_tick {});
-        }
-        reviewEngines();
-    }
+    const auto log = m_control->status();
+    const bool leads = log.role == consensus::raft_role::leader;
+    m_maps.setTerm(leads ? std::optional(log.term.value) : std::nullopt);
+    m_maps.tick();
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
     }
--- a/src/daemon/entry-operators.cc
+++ b/src/daemon/entry-operators.cc
@@ -32,11 +32,6 @@
     return "unknown";
 }
 
-void addCounter(std::string &text, std::string_view name, std::string_view labels, std::uint64_t value)
-{
-    fmt::format_to(std::back_inserter(text), "{}{} {}\n", name, labels, value);
-}
-
 } // namespace
 
 void entry_node::propose(agreed::command command, decision_function decide)
@@ -240,22 +235,19 @@
 
 std::string entry_node::metrics() const
 {
-    std::string text;
-    text += "# HELP figcleat_requests_total Requests by result code.\n# TYPE figcleat_requests_total counter\n";
+    report::metrics_text page;
     for (const auto &[code, count] : m_ended) {
-        addCounter(text, "figcleat_requests_total",
-                   fmt::format("{{code=\"{}\",name=\"{}\"}}", static_cast<int>(code), describe(code).name), count);
-    }
-    const auto &messages = m_messenger->counters();
-    addCounter(text, "figcleat_requests_in_progress", "", m_pipeline.requestsInProgress());
-    addCounter(text, "figcleat_mailbox_sent_bytes_total", "", messages.bytesSent);
-    addCounter(text, "figcleat_mailbox_received_bytes_total", "", messages.bytesReceived);
-    addCounter(text, "figcleat_mailbox_sent_messages_total", "", messages.messagesSent);
-    addCounter(text, "figcleat_mailbox_received_messages_total", "", messages.messagesReceived);
-    addCounter(text, "figcleat_mailbox_dropped_messages_total", "", messages.messagesDropped);
-    addCounter(text, "figcleat_configuration_revision", "", m_replica.configuration().revision.value);
-    addCounter(text, "figcleat_invariant_violations_total", "", violationCount());
-    return text + m_levels.metrics();
+        page.counter("figcleat_requests_total", "Requests by result code.",
+                     fmt::format("code=\"{}\",name=\"{}\"", static_cast<int>(code), describe(code).name), count);
+    }
+    page.gauge("figcleat_requests_in_progress", "Requests without their final answer.", {},
+               static_cast<double>(m_pipeline.requestsInProgress()));
+    m_messenger->writeMetrics(page);
+    page.gauge("figcleat_configuration_revision", "Revision of the configuration in force.", {},
+               static_cast<double>(m_replica.configuration().revision.value));
+    page.counter("figcleat_invariant_violations_total", "Violations of invariants.", {}, violationCount());
+    m_levels.writeMetrics(page);
+    return page.text();
 }
 
 } // namespace figcleat
--- /dev/null
+++ b/src/daemon/front-metrics.cc
@@ -0,0 +1,54 @@
+#include "figcleat/daemon/front-metrics.h"
+
+#include <fmt/format.h>
+
+namespace figcleat
+{
+
+front_metrics::front_metrics()
+    : m_queued(report::makeLatencyHistogram())
+    , m_headers(report::makeLatencyHistogram())
+    , m_firstByte(report::makeLatencyHistogram())
+    , m_whole(report::makeLatencyHistogram())
+{
+}
+
+void front_metrics::record(const forward::forward_ended &ended)
+{
+    ++m_requests[{ ended.code, ended.isLate }];
+    if (ended.attempts == 0) {
+        return;
+    }
+    report::addToBin(m_queued, report::latencyBin(ended.queued), 1);
+    if (ended.code == result_code::ok) {
+        report::addToBin(m_headers, report::latencyBin(ended.headers), 1);
+        report::addToBin(m_firstByte, report::latencyBin(ended.firstByte), 1);
+        report::addToBin(m_whole, report::latencyBin(ended.whole), 1);
+    }
+}
+
+void front_metrics::record(const forward::attempt_note &note)
+{
+    ++m_attempts[{ note.outcome, note.next }];
+}
+
+void front_metrics::write(report::metrics_text &page) const
+{
+    for (const auto &[what, count] : m_requests) {
+        page.counter("figcleat_requests_total", "Requests that ended, by result code.",
+                     fmt::format("code=\"{}\",name=\"{}\",late=\"{}\"", static_cast<int>(what.code),
+                                 describe(what.code).name, what.isLate),
+                     count);
+    }
+    for (const auto &[what, count] : m_attempts) {
+        page.counter("figcleat_attempts_failed_total", "Attempts that did not end with an answer.",
+                     fmt::format("outcome=\"{}\",next=\"{}\"", what.first, what.second), count);
+    }
+    page.histogram("figcleat_queue_seconds", "Time until the first attempt.", m_queued);
+    page.histogram("figcleat_target_headers_seconds",
+                   "Time from the last attempt to the target's headers, connection included.", m_headers);
+    page.histogram("figcleat_first_byte_seconds", "Time until the first byte for the caller.", m_firstByte);
+    page.histogram("figcleat_request_seconds", "Time until the end of an answered request.", m_whole);
+}
+
+} // namespace figcleat
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -1,9 +1,10 @@
 #include "figcleat/daemon/front-node.h"
 
+#include "figcleat/core/digest.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 
-#include <algorithm>
+#include <fmt/format.h>
 
 namespace figcleat
 {
@@ -15,10 +16,6 @@
 constexpr duration pollPeriod = std::chrono::milliseconds(400);
 /** Deadlines are kept to this precision; each wake-up costs processor time. */
 constexpr duration tickPeriod = std::chrono::milliseconds(25);
-/** A coordinator that has not answered for this long is taken for lost. */
-constexpr duration coordinatorSilence = std::chrono::seconds(2);
-/** Unchanged load is told again after this time, so that others know it is still true. */
-constexpr duration loadPeriod = std::chrono::milliseconds(250);
 /** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
  */
 constexpr duration connectTimeout = std::chrono::milliseconds(250);
@@ -29,6 +26,8 @@
 constexpr duration unreadyPeriod = std::chrono::milliseconds(3200);
 /** Connections that no caller uses are closed this long before the end of the grace period. */
 constexpr duration idleCloseMargin = std::chrono::milliseconds(2500);
+/** One in so many answers in time is logged, by request id, so that a request has all of its lines or none. */
+constexpr std::uint64_t uneventfulPerLine = 64;
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
 
@@ -49,6 +48,21 @@
     return chosen;
 }
 
+void writeServiceLoad(report::metrics_text &page, const forward::service_load &load)
+{
+    const std::string service = fmt::format("service=\"{}\"", load.service.value);
+    page.gauge("figcleat_requests_waiting", "Requests that wait for room at a target.", service,
+               static_cast<double>(load.waiting));
+    page.gauge("figcleat_target_level", "Requests that may be at one target.", service, load.level);
+    page.gauge("figcleat_target_busiest", "Most requests at one target.", service, load.busiest);
+    page.gauge("figcleat_stream_pause_share", "Pauses in streams as a part of the longest allowed one.", service,
+               load.pause);
+    page.counter("figcleat_repeats_total", "Attempts that drew on the shared budget of repeats.", service,
+                 load.repeats);
+    page.gauge("figcleat_repeats_left", "Repeats that the budget still allows in this window.", service,
+               static_cast<double>(load.repeatsLeft));
+}
+
 std::int64_t wholeMs(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -80,40 +94,20 @@
     logger()->warn("event=readiness_rejected code={}", describe(code).name);
 }
 
-expected<std::unique_ptr<front_node>> front_node::open(const forward::node_settings &settings,
-                                                       const forward::dialect &language, loop &eventLoop,
-                                                       const clock &time, std::uint64_t random)
-{
-    auto opened = std::unique_ptr<front_node>(new front_node(settings, language, eventLoop, time, random));
-    if (const auto started = opened->start(random); !started) {
-        return tl::unexpected<error>(started.error());
-    }
-    return opened;
-}
-
-front_node::front_node(forward::node_settings settings, const forward::dialect &language, loop &eventLoop,
-                       const clock &time, std::uint64_t random)
-    : m_settings(std::move(settings))
-    , m_dialect(&language)
-    , m_loop(&eventLoop)
-    , m_time(&time)
-    , m_incarnation { random | 1U }
-    , m_links(m_settings.seeds, {}, time.now())
+front_node::front_node(node_context context)
+    : node_base(std::move(context))
     , m_readinessHandler(*this)
-    , m_forwarder(forwarderSettings(m_settings, random))
+    , m_forwarder(forwarderSettings(m_settings, m_random))
+    , m_loads(m_self, m_settings.dataCentre)
 {
     m_forwarder.pool().setDirectory(&m_directory);
 }
 
-expected<void> front_node::start(std::uint64_t /*random*/)
+expected<void> front_node::start()
 {
-    const peer_address self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) };
-    auto messages = messenger::open(*m_loop, *m_time, self, m_incarnation,
-                                    [this](const envelope &received) { receive(received); });
-    if (!messages) {
-        return tl::unexpected<error>(messages.error());
+    if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
+        return opened;
     }
-    m_messenger = std::move(*messages);
     auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, {}, *this);
     if (!callers) {
         return tl::unexpected<error>(callers.error());
@@ -144,16 +138,25 @@
     m_callers->closeAfterAnswers();
 }
 
-void front_node::reload(const forward::node_settings &settings)
+bool front_node::isReady() const
 {
-    m_settings.seeds = settings.seeds;
-    m_links.setSeeds(settings.seeds, m_time->now());
-    logger()->info("event=reload seeds={}", settings.seeds.size());
+    return !m_drainStarted && m_forwarder.hasRoutes() && !m_directory.entries().empty();
 }
 
-bool front_node::isReady() const
+void front_node::writeMetrics(report::metrics_text &page) const
 {
-    return !m_drainStarted && m_forwarder.hasRoutes() && !m_directory.entries().empty();
+    m_counts.write(page);
+    page.gauge("figcleat_requests_in_progress", "Requests without their final answer.", {},
+               static_cast<double>(m_forwarder.requestsInProgress()));
+    for (const auto &one : m_forwarder.loadSummary(now())) {
+        writeServiceLoad(page, one);
+    }
+    page.gauge("figcleat_fronts", "Fronts among which limits are shared, this one included.", {},
+               m_forwarder.nodeCount());
+    page.gauge("figcleat_configuration_version", "Version of the configuration in force.", {},
+               static_cast<double>(m_version));
+    page.gauge("figcleat_targets", "Registrations that are known.", {},
+               static_cast<double>(m_directory.entries().size()));
 }
 
 void front_node::onRequest(exchange_id exchange, http_request request)
@@ -199,13 +202,12 @@
 
 void front_node::receive(const envelope &received)
 {
-    std::visit(
-        overloaded {
-            [&](const forward::node_update &update) { onUpdate(received, update); },
-            [&](const forward::node_load &load) { m_forwarder.pool().setPeerLoad(received.from, load, m_time->now()); },
-            [](const auto &) {},
-        },
-        received.message);
+    std::visit(overloaded {
+                   [&](const forward::node_update &update) { onUpdate(received, update); },
+                   [&](const forward::node_load &load) { m_loads.receive(received.from, load, now()); },
+                   [](const auto &) {},
+               },
+               received.message);
 }
 
 void front_node::onUpdate(const envelope &received, const forward::node_update &update)
@@ -225,12 +227,18 @@
     if (update.knowsEngines) {
         m_forwarder.pool().setEngines(update.engines, now);
     }
-    if (!update.frontAddresses.empty()) {
-        m_otherFronts = update.frontAddresses;
-        std::erase(m_otherFronts, m_messenger->self());
+    if (!update.contacts.empty()) {
+        knowFronts();
     }
-    if (const auto fronts = m_links.fronts(coordinatorSilence, now); fronts > 0) {
-        m_forwarder.setNodeCount(fronts);
+}
+
+void front_node::knowFronts()
+{
+    const auto fronts = m_links.fronts(coordinatorSilence, now());
+    // A front that hears no coordinator keeps its share of the limits.
+    if (!fronts.empty()) {
+        m_forwarder.setNodeCount(static_cast<std::uint32_t>(fronts.size()));
+        m_loads.setFronts(fronts);
     }
 }
 
@@ -256,12 +264,8 @@
 void front_node::poll()
 {
     const time_point now = m_time->now();
-    m_links.forgetSilent(now);
-    for (const auto &[address, link] : m_links.links()) {
-        m_messenger->send(address,
-                          forward::node_poll { m_settings.vm, forward::node_role::front, link.incarnation,
-                                               link.directoryVersion, m_revision });
-    }
+    pollCoordinators(m_revision);
+    knowFronts();
     for (const auto &one : m_forwarder.loadSummary(now)) {
         logger()->info("event=load service={} level={:.1f} busiest={:.1f} slots={} pause={:.2f} waiting={}",
                        one.service.value, one.level, one.busiest, one.slots, one.pause, one.waiting);
@@ -275,16 +279,8 @@
 
 void front_node::shareLoad()
 {
-    const time_point now = m_time->now();
-    auto uses = m_forwarder.pool().ownLoad();
-    if (uses == m_sharedLoad && now - m_loadSharedAt < loadPeriod) {
-        return;
-    }
-    m_sharedLoad = std::move(uses);
-    m_loadSharedAt = now;
-    ++m_loadSequence;
-    for (const auto &other : m_otherFronts) {
-        m_messenger->send(other, forward::node_load { m_loadSequence, m_sharedLoad });
+    for (auto &message : m_loads.share(m_forwarder.pool().ownLoad(), now())) {
+        m_messenger->send(message.to, std::move(message.load));
     }
 }
 
@@ -315,7 +311,10 @@
 
 void front_node::step(const forward::forward_event &event)
 {
-    for (auto &action : m_forwarder.step(event, m_time->now())) {
+    if (m_loads.takeChanged(now())) {
+        m_forwarder.pool().setOthers(m_loads.others(now()));
+    }
+    for (auto &action : m_forwarder.step(event, now())) {
         std::visit([this](auto &what) { carryOut(what); }, action);
     }
     loop::trigger(m_shareLater);
@@ -398,8 +397,10 @@
 
 void front_node::carryOut(const forward::forward_ended &action)
 {
-    // Answers in time are the rule; only the others need an explanation.
-    const bool isUneventful = action.code == result_code::ok && !action.isLate;
+    m_counts.record(action);
+    // Answers in time are the rule; of these a sample shows what is usual.
+    const bool isUneventful
+        = action.code == result_code::ok && !action.isLate && checksum(action.id.value) % uneventfulPerLine != 0;
     const auto level = isUneventful ? spdlog::level::debug : spdlog::level::info;
     logger()->log(level,
                   "event=request id={} route={} workspace={} service={} target={} code={} status={} attempts={} "
@@ -412,6 +413,7 @@
 
 void front_node::carryOut(const forward::attempt_note &action)
 {
+    m_counts.record(action);
     logger()->info("event=attempt id={} target={} outcome={} next={}", action.id.value, action.target.value,
                    action.outcome, action.next);
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,5 +1,6 @@
 #include "figcleat/core/invariant.h"
 #include "figcleat/core/log.h"
+#include "figcleat/core/process.h"
 #include "figcleat/daemon/entry-node.h"
 #include "figcleat/daemon/target-node.h"
 
@@ -7,7 +8,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <random>
 
 namespace
 {
@@ -44,18 +44,7 @@
     return given;
 }
 
-int exitStatus(const error &problem)
-{
-    const auto &info = describe(problem.code);
-    std::cerr << "figcleatd: " << problem.detail << " (" << static_cast<int>(problem.code) << " " << info.name << ")\n";
-    return info.exitStatus;
-}
-
-std::uint64_t randomNumber()
-{
-    std::random_device source;
-    return (std::uint64_t { source() } << 32U) | source();
-}
+constexpr std::string_view program = "figcleatd";
 
 template<typename Node>
 int serve(const daemon_settings &settings)
@@ -69,7 +58,7 @@
     }
     auto opened = Node::open(settings, eventLoop, time, randomNumber());
     if (!opened) {
-        return exitStatus(opened.error());
+        return reportProblem(program, opened.error());
     }
     node = std::move(*opened);
     logFor(part::daemon)->info("Serves in {}.", settings.dataCentre.value);
@@ -87,7 +76,7 @@
 {
     const auto given = parseArguments(argc, argv);
     if (!given) {
-        return exitStatus(given.error());
+        return reportProblem(program, given.error());
     }
     if (given->help) {
         return 0;
@@ -104,13 +93,10 @@
         return 0;
     }
     startLog(settings->logLevel, settings->vm.value);
-    // A peer that closes its connection must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
-    // A file at the size limit is a full disk for the log, which the voter survives.
-    std::signal(SIGXFSZ, SIG_IGN);
+    ignoreWriteSignals();
     try {
         return settings->entry ? serve<entry_node>(*settings) : serve<target_node>(*settings);
     } catch (const invariant_violation &violation) {
-        return exitStatus({ violation.code(), violation.what() });
+        return reportProblem(program, { violation.code(), violation.what() });
     }
 }
--- a/src/daemon/messenger.cc
+++ b/src/daemon/messenger.cc
@@ -111,9 +111,17 @@
     return found == m_heard.end() ? std::nullopt : std::optional(m_time->now() - found->second.lastHeard);
 }
 
-const mailbox_counters &messenger::counters() const
+void messenger::writeMetrics(report::metrics_text &page) const
 {
-    return m_mailbox->counters();
+    const auto &counters = m_mailbox->counters();
+    page.counter("figcleat_mailbox_sent_bytes_total", "Bytes of messages to other processes.", {}, counters.bytesSent);
+    page.counter("figcleat_mailbox_received_bytes_total", "Bytes of messages from other processes.", {},
+                 counters.bytesReceived);
+    page.counter("figcleat_mailbox_sent_messages_total", "Messages to other processes.", {}, counters.messagesSent);
+    page.counter("figcleat_mailbox_received_messages_total", "Messages from other processes.", {},
+                 counters.messagesReceived);
+    page.counter("figcleat_mailbox_dropped_messages_total", "Messages that found the queue to their process full.", {},
+                 counters.messagesDropped);
 }
 
 incarnation_id messenger::incarnation() const
--- a/src/daemon/node-links.cc
+++ b/src/daemon/node-links.cc
@@ -42,17 +42,21 @@
     if (one.incarnation != incarnation) {
         one.incarnation = incarnation;
         one.directoryVersion = 0;
+        one.contactsChecksum = 0;
     }
     one.heard = now;
-    one.fronts = update.fronts;
     one.leader = update.leader;
     one.term = update.term;
     // An update before this one may have been lost; then the next poll asks for its changes again.
     if (update.since <= one.directoryVersion) {
         one.directoryVersion = std::max(one.directoryVersion, update.directoryVersion);
     }
-    for (const auto &address : update.coordinators) {
-        add(address, false, now);
+    for (const auto &contacts : update.contacts) {
+        one.contactsChecksum = update.contactsChecksum;
+        one.fronts = contacts.fronts;
+        for (const auto &address : contacts.coordinators) {
+            add(address, false, now);
+        }
     }
 }
 
@@ -63,8 +67,14 @@
 
 void coordinator_links::forgetSilent(time_point now)
 {
-    std::erase_if(m_links,
-                  [now](const auto &entry) { return !entry.second.isSeed && now - entry.second.heard >= forgetAfter; });
+    const auto forgotten = std::erase_if(
+        m_links, [now](const auto &entry) { return !entry.second.isSeed && now - entry.second.heard >= forgetAfter; });
+    if (forgotten > 0) {
+        // This node may have been the one that was cut off; what it forgot is named again.
+        for (auto &[address, one] : m_links) {
+            one.contactsChecksum = 0;
+        }
+    }
 }
 
 const std::map<peer_address, coordinator_links::link> &coordinator_links::links() const
@@ -88,6 +98,17 @@
     }));
 }
 
+std::optional<time_point> coordinator_links::lastHeard() const
+{
+    std::optional<time_point> latest;
+    for (const auto &[address, one] : m_links) {
+        if (one.incarnation != incarnation_id {}) {
+            latest = std::max(latest.value_or(one.heard), one.heard);
+        }
+    }
+    return latest;
+}
+
 peer_address coordinator_links::leader(duration window, time_point now) const
 {
     std::uint64_t term = 0;
@@ -101,15 +122,15 @@
     return leader;
 }
 
-std::uint32_t coordinator_links::fronts(duration window, time_point now) const
+std::vector<forward::front_contact> coordinator_links::fronts(duration window, time_point now) const
 {
-    std::uint32_t most = 0;
+    std::set<forward::front_contact> known;
     for (const auto &[address, one] : m_links) {
         if (now - one.heard <= window) {
-            most = std::max(most, one.fronts);
+            known.insert(one.fronts.begin(), one.fronts.end());
         }
     }
-    return most;
+    return { known.begin(), known.end() };
 }
 
 } // namespace figcleat
--- a/src/daemon/operator-api.cc
+++ b/src/daemon/operator-api.cc
@@ -1,6 +1,7 @@
 #include "figcleat/daemon/operator-api.h"
 
 #include "figcleat/core/log.h"
+#include "figcleat/report/metrics-text.h"
 #include "figcleat/report/render.h"
 #include "figcleat/settings/configuration.h"
 
@@ -60,7 +61,7 @@
 {
     const bool isRead = request.method == "GET";
     if (isRead && request.path == "/metrics") {
-        m_server->reply(exchange, statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_backend->metrics());
+        m_server->reply(exchange, statusOk, { { "Content-Type", report::metricsContentType } }, m_backend->metrics());
         return;
     }
     if (!isOperator(request)) {
--- a/src/daemon/service-levels.cc
+++ b/src/daemon/service-levels.cc
@@ -1,7 +1,6 @@
 #include "figcleat/daemon/service-levels.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace figcleat
 {
@@ -20,20 +19,6 @@
     return !ended.service.empty() && !malformed && ended.code != result_code::caller_gone;
 }
 
-std::string renderHistogram(std::string_view name, std::string_view help, const report::latency_histogram &histogram)
-{
-    std::string text = fmt::format("# HELP {0} {1}\n# TYPE {0} histogram\n", name, help);
-    std::uint64_t total = 0;
-    for (int bin = 0; bin < report::allLatencyBins; ++bin) {
-        total += report::countInBin(histogram, bin);
-        const bool isLast = bin == report::allLatencyBins - 1;
-        const double end = std::chrono::duration<double>(report::upperEnd(bin)).count();
-        text += isLast ? fmt::format("{}_bucket{{le=\"+Inf\"}} {}\n", name, total)
-                       : fmt::format("{}_bucket{{le=\"{:.4g}\"}} {}\n", name, end, total);
-    }
-    return text + fmt::format("{}_count {}\n", name, total);
-}
-
 } // namespace
 
 service_levels::service_levels(const vm_id &entry, incarnation_id incarnation)
@@ -94,10 +79,10 @@
     return all;
 }
 
-std::string service_levels::metrics() const
+void service_levels::writeMetrics(report::metrics_text &page) const
 {
-    return renderHistogram("figcleat_request_seconds", "Time until the end of a request.", m_latency)
-        + renderHistogram("figcleat_first_byte_seconds", "Time until the first byte of an answer.", m_firstByte);
+    page.histogram("figcleat_request_seconds", "Time until the end of a request.", m_latency);
+    page.histogram("figcleat_first_byte_seconds", "Time until the first byte of an answer.", m_firstByte);
 }
 
 } // namespace figcleat
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -1,7 +1,5 @@
 #include "figcleat/forward/forwarder.h"
 
-#include "figcleat/core/invariant.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -65,11 +63,6 @@
     }
 }
 
-void forwarder::stop()
-{
-    m_stopping = true;
-}
-
 target_pool &forwarder::pool()
 {
     return m_pool;
@@ -80,6 +73,11 @@
     return m_requests.size();
 }
 
+std::uint32_t forwarder::nodeCount() const
+{
+    return m_nodes;
+}
+
 bool forwarder::hasRoutes() const
 {
     return m_routes != nullptr;
@@ -244,10 +242,25 @@
 
 std::vector<service_load> forwarder::loadSummary(time_point now) const
 {
+    std::map<service_id, std::size_t> waiting;
+    for (const auto exchange : m_waiting) {
+        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
+            ++waiting[found->second.service];
+        }
+    }
     std::vector<service_load> loads;
-    for (const auto &[service, pace] : m_paces) {
+    for (const auto &[service, budget] : m_budgets) {
         const auto [busiest, slots] = m_pool.busiest(service, now);
-        loads.push_back({ service, pace.level(), busiest, slots, pace.lastPause(), m_waiting.size() });
+        service_load one { .service = service, .level = 0, .busiest = busiest, .slots = slots };
+        if (const auto pace = m_paces.find(service); pace != m_paces.end()) {
+            one.level = pace->second.level();
+            one.pause = pace->second.lastPause();
+        }
+        one.waiting = waiting[service];
+        const auto repeats = m_repeats.find(service);
+        one.repeats = repeats == m_repeats.end() ? 0 : repeats->second;
+        one.repeatsLeft = budget.left(now);
+        loads.push_back(std::move(one));
     }
     return loads;
 }
@@ -288,7 +301,11 @@
 bool forwarder::takeRepeat(const service_id &service)
 {
     const auto budget = m_budgets.find(service);
-    return budget != m_budgets.end() && budget->second.takeRetry(m_now);
+    if (budget == m_budgets.end() || !budget->second.takeRetry(m_now)) {
+        return false;
+    }
+    ++m_repeats[service];
+    return true;
 }
 
 void forwarder::endAttempt(request_state &state, attempt_result result)
@@ -306,7 +323,7 @@
     const bool isAllowed = !mayHaveRun || mayRunAgain(state);
     const bool hasTime = state.deadline - m_now >= minTimeLeft;
     const std::string failure(describe(code).name);
-    if (isAllowed && hasTime && state.sends < maxSends && !m_stopping && takeRepeat(state.service)) {
+    if (isAllowed && hasTime && state.sends < maxSends && takeRepeat(state.service)) {
         note(state, failure, "retry");
         state.waitUntil = std::max(state.waitUntil, m_now + (state.streaming ? resumeWait : retryWait));
         place(exchange, state);
@@ -342,6 +359,7 @@
     attempt.head = event.head;
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
+    state.headers = m_now - attempt.startedAt;
     if (event.head.load) {
         m_pool.onLoad(attempt.target, *event.head.load, m_now);
     }
@@ -584,6 +602,7 @@
     ended.status = status;
     ended.attempts = state.sends;
     ended.queued = state.firstSent.value_or(m_now) - state.arrived;
+    ended.headers = state.headers;
     ended.firstByte = state.firstByte.value_or(m_now) - state.arrived;
     ended.whole = m_now - state.arrived;
     ended.longestPause = state.longestPause;
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -24,8 +24,6 @@
 constexpr std::uint32_t maxDoublings = 2;
 /** Load, in requests, that a target in another data centre must have less to be preferred. */
 constexpr double remotePenalty = 0.5;
-/** What another node said of its requests is out of date after this time; nodes speak every 250 ms. */
-constexpr duration peerSilence = std::chrono::milliseconds(900);
 /** What was said of engines is out of date after this time. */
 constexpr duration engineSilence = std::chrono::seconds(2);
 /** The ranks of a group advance together, so a request at a target of this pace delays the streams of all others. */
@@ -145,7 +143,6 @@
 expected<directory_entry> target_pool::choose(const service_id &service, const std::set<target_id> &excluded,
                                               const choice_limits &limits, time_point now)
 {
-    sumPeers(now);
     // Slow targets are used only where there are no others.
     const bool avoidsSlow = knowsEngines(now)
         && std::any_of(m_directory->entries().begin(), m_directory->entries().end(), [&](const auto &one) {
@@ -200,12 +197,20 @@
     record.prompts -= std::min<std::uint32_t>(1, record.prompts);
 }
 
-void target_pool::setPeerLoad(const peer_address &peer, const node_load &load, time_point now)
+void target_pool::setOthers(const std::optional<std::vector<target_use>> &uses)
 {
-    auto &record = m_peers[peer];
-    // A lower sequence is a new life of the peer or a message that was overtaken; the next one decides.
-    record.load = load;
-    record.heard = now;
+    m_hasPeers = uses.has_value();
+    for (auto &[id, record] : m_records) {
+        record.peerRequests = 0;
+        record.peerPrompts = 0;
+    }
+    if (uses) {
+        for (const auto &use : *uses) {
+            auto &record = m_records[use.target];
+            record.peerRequests = use.requests;
+            record.peerPrompts = use.prompts;
+        }
+    }
 }
 
 std::vector<target_use> target_pool::ownLoad() const
@@ -219,23 +224,6 @@
     return uses;
 }
 
-void target_pool::sumPeers(time_point now)
-{
-    std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.heard > peerSilence; });
-    m_hasPeers = !m_peers.empty();
-    for (auto &[id, record] : m_records) {
-        record.peerRequests = 0;
-        record.peerPrompts = 0;
-    }
-    for (const auto &[peer, one] : m_peers) {
-        for (const auto &use : one.load.uses) {
-            auto &record = m_records[use.target];
-            record.peerRequests += use.requests;
-            record.peerPrompts += use.prompts;
-        }
-    }
-}
-
 void target_pool::onEnded(const target_id &target, attempt_result result, bool readsPrompt, time_point now)
 {
     if (readsPrompt) {
@@ -285,13 +273,6 @@
     record.othersAt = now;
 }
 
-void target_pool::onBlamed(const target_id &target, time_point now)
-{
-    auto &record = m_records[target];
-    record.failuresInRow = std::max(record.failuresInRow + 1, failuresToBlock);
-    block(record, blockBase, now);
-}
-
 bool target_pool::knowsEngines(time_point now) const
 {
     return m_enginesHeard != time_point {} && now - m_enginesHeard <= engineSilence;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -79,6 +79,15 @@
     return m_switches;
 }
 
+map_version map_controller::mapInUse() const
+{
+    map_version highest;
+    for (const auto &[number, rank] : m_ranks) {
+        highest = std::max(highest, rank.status.map);
+    }
+    return highest;
+}
+
 std::vector<map_action> map_controller::step(const map_event &event, time_point now)
 {
     m_now = now;
@@ -110,7 +119,7 @@
         // Overtaken by a later report.
         return;
     }
-    learnChosen(rank, status.chosen);
+    learnChosen(status.chosen);
     rank.status = status;
     rank.heard = m_now;
     rank.agentSilent = false;
@@ -121,7 +130,7 @@
     advance();
 }
 
-void map_controller::learnChosen(rank_state &rank, const expert_lists &chosen)
+void map_controller::learnChosen(const expert_lists &chosen)
 {
     const auto &model = m_settings.model;
     const bool fits = chosen.size() == model.sets
@@ -136,12 +145,9 @@
     for (std::size_t set = 0; set < model.sets; ++set) {
         for (std::size_t expert = 0; expert < model.experts; ++expert) {
             auto &weight = m_popularity[set][expert];
-            weight *= kept;
-            const auto before = rank.lastChosen.empty() ? chosen[set][expert] : rank.lastChosen[set][expert];
-            weight += chosen[set][expert] >= before ? chosen[set][expert] - before : 0;
+            weight = weight * kept + chosen[set][expert];
         }
     }
-    rank.lastChosen = chosen;
 }
 
 void map_controller::handle(const order_answered &event)
--- a/src/request/retry-budget.cc
+++ b/src/request/retry-budget.cc
@@ -17,22 +17,27 @@
 
 bool retry_budget::takeRetry(time_point now)
 {
-    auto &newest = current(now);
+    if (left(now) == 0) {
+        return false;
+    }
+    ++current(now).retries;
+    return true;
+}
+
+std::uint64_t retry_budget::left(time_point now) const
+{
+    const auto newest = sliceNumber(now);
     std::uint64_t first = 0;
     std::uint64_t retries = 0;
     for (const auto &one : m_slices) {
-        if (one.number > newest.number - static_cast<std::int64_t>(slices)) {
+        if (one.number > newest - static_cast<std::int64_t>(slices)) {
             first += one.first;
             retries += one.retries;
         }
     }
     const auto allowed
         = std::max(m_settings.minimum, static_cast<std::uint64_t>(m_settings.share * static_cast<double>(first)));
-    if (retries >= allowed) {
-        return false;
-    }
-    ++newest.retries;
-    return true;
+    return allowed - std::min(allowed, retries);
 }
 
 retry_budget::slice &retry_budget::current(time_point now)
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -372,9 +372,7 @@
 TEST_CASE("requests of other nodes count for the choice of a target", "[forward]")
 {
     fixture f;
-    node_load load;
-    load.uses = { { { "t1" }, 3, 0 } };
-    f.subject().pool().setPeerLoad({ "10.0.1.1:7000" }, load, f.now());
+    f.subject().pool().setOthers(std::vector<target_use> { { { "t1" }, 3, 0 } });
     for (std::uint64_t i = 1; i <= 3; ++i) {
         CHECK(find<start_attempt>(f.arrive(i, bookingPath))->call.target == target_id { "t2" });
     }
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -201,11 +201,13 @@
                 act(m_controller->step(answer, m_now));
             }
             if (i % 10 == 0) {
-                for (const auto &one : m_group.members()) {
+                for (auto &one : m_group.members()) {
                     if (m_frozenAgent == one.status.rank) {
                         continue;
                     }
-                    act(m_controller->step(rank_reported { one.status }, m_now));
+                    const auto report = one.status;
+                    one.status.chosen = expert_lists(sets, std::vector<std::uint32_t>(experts, 0));
+                    act(m_controller->step(rank_reported { report }, m_now));
                 }
             }
             act(m_controller->step(map_tick {}, m_now));
@@ -289,6 +291,15 @@
 
 } // namespace
 
+TEST_CASE("a report says what was chosen since the one before", "[group][map]")
+{
+    const expert_lists earlier { { 5, 7 }, { 1, 1 } };
+    CHECK(chosenSince({ { 6, 7 }, { 4, 1 } }, earlier) == expert_lists { { 1, 0 }, { 3, 0 } });
+    // Guards against a burst of demand that never was, after the start of an agent or of its rank.
+    CHECK(chosenSince({ { 600, 7 }, { 4, 1 } }, {}) == expert_lists { { 0, 0 }, { 0, 0 } });
+    CHECK(chosenSince({ { 2, 8 }, { 4, 1 } }, earlier) == expert_lists { { 0, 1 }, { 3, 0 } });
+}
+
 TEST_CASE("a skewed group gets a map that spreads the load", "[group][map]")
 {
     world w(1, 0);
--- a/test/node-links-test.cc
+++ b/test/node-links-test.cc
@@ -44,7 +44,8 @@
 {
     coordinator_links links({ first }, {}, start);
     auto update = makeUpdate(0, 1);
-    update.coordinators = { second };
+    update.contacts = { { { first, second }, {} } };
+    update.contactsChecksum = 5;
     links.onUpdate(first, { 7 }, update, start);
     links.setSeeds({ { "10.0.0.9:7000" } }, start);
     CHECK(links.links().contains(second));
@@ -61,6 +62,35 @@
     CHECK(links.addresses() == std::vector<peer_address> { first, second });
 }
 
+TEST_CASE("forgotten coordinators are asked for again", "[forward]")
+{
+    // Guards against a node that was cut off for long and knows only its seeds from then on, as contacts that have not
+    // changed are not sent again.
+    coordinator_links links({ first }, {}, start);
+    auto update = makeUpdate(0, 1);
+    update.contacts = { { { first, second }, {} } };
+    update.contactsChecksum = 5;
+    links.onUpdate(first, { 7 }, update, start);
+    CHECK(links.links().at(first).contactsChecksum == 5);
+    links.forgetSilent(start + coordinator_links::forgetAfter);
+    CHECK_FALSE(links.links().contains(second));
+    CHECK(links.links().at(first).contactsChecksum == 0);
+}
+
+TEST_CASE("the fronts of all coordinators that are heard count", "[forward]")
+{
+    const forward::front_contact one { { "10.0.1.1:7000" }, { "north" } };
+    const forward::front_contact other { { "10.0.2.1:7000" }, { "south" } };
+    coordinator_links links({ first, second }, {}, start);
+    auto update = makeUpdate(0, 1);
+    update.contacts = { { {}, { one } } };
+    links.onUpdate(first, { 7 }, update, start);
+    update.contacts = { { {}, { one, other } } };
+    links.onUpdate(second, { 8 }, update, start + 2s);
+    CHECK(links.fronts(1s, start + 2s) == std::vector { one, other });
+    CHECK(links.fronts(1s, start + 4s).empty());
+}
+
 TEST_CASE("the leader of the highest term is the one to report to", "[forward]")
 {
     coordinator_links links({ first, second }, {}, start);
