Explain a failed request from logs; never wait for the reader of a log

Ruled out: spdlog's asynchronous logger; its thread waits in the write instead, and a planned stop then waits for it. Change: line_sink asks whether the descriptor takes a line, counts what it does not write, and bounds lines a second. 'figcleat explain REQUEST' prints the path of a request and its cause.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,5 +1,6 @@
 #include "figcleat/cli/commands.h"
 
+#include "figcleat/cli/explain.h"
 #include "figcleat/cli/operator-client.h"
 #include "figcleat/cli/tables.h"
 #include "figcleat/core/process.h"
@@ -33,6 +34,7 @@
   restore DATA_CENTRE   bring a data centre back into service
   add-voter ADDRESS     open a seat for a new voter, named by its mailbox address
   remove-voter ADDRESS  take a voter out of the replicated log, by its mailbox address
+  explain REQUEST [FILE...]  path of a request and the cause of its end, from logs of nodes (else standard input)
 
 )";
 
@@ -40,6 +42,8 @@
 {
     std::string command;
     std::string operand;
+    /** Further operands; files of `explain`. */
+    std::vector<std::string> files;
     std::string entry;
     std::string credentialFile;
     bool json = false;
@@ -204,6 +208,29 @@
     return report({ result_code::usage_error, "unknown command " + given.command });
 }
 
+int explainRequest(const arguments &given)
+{
+    std::vector<log_line> log;
+    if (given.files.empty()) {
+        log = readLog(std::cin);
+    }
+    for (const auto &path : given.files) {
+        std::ifstream file(path);
+        if (!file) {
+            return report({ result_code::settings_unreadable, path + ": the file cannot be read" });
+        }
+        const auto lines = readLog(file);
+        log.insert(log.end(), lines.begin(), lines.end());
+    }
+    const auto text = explain(log, given.operand);
+    if (text.empty()) {
+        return report({ result_code::not_found,
+                        "no line names request " + given.operand + "; of the answers in time one in 64 is logged" });
+    }
+    std::cout << text;
+    return 0;
+}
+
 /** What a command needs as its operand; empty if it needs none. */
 std::string_view operandOf(std::string_view command)
 {
@@ -213,6 +240,9 @@
     if (command == "drain" || command == "restore") {
         return "DATA_CENTRE";
     }
+    if (command == "explain") {
+        return "REQUEST";
+    }
     return command == "add-voter" || command == "remove-voter" ? "ADDRESS" : "";
 }
 
@@ -231,6 +261,9 @@
     if (given.command == "check-settings") {
         return reportChecked(loadDaemonSettings(given.operand), given.operand);
     }
+    if (given.command == "explain") {
+        return explainRequest(given);
+    }
     const auto entry = parseSocketAddress(given.entry);
     if (!entry) {
         return report({ result_code::usage_error, given.entry + " is no address" });
@@ -245,9 +278,10 @@
     arguments given;
     const auto known = options(given);
     po::options_description all(known);
-    all.add_options()("command", po::value(&given.command))("operand", po::value(&given.operand));
+    all.add_options()("command", po::value(&given.command))("operand",
+                                                            po::value(&given.operand))("file", po::value(&given.files));
     po::positional_options_description positions;
-    positions.add("command", 1).add("operand", 1);
+    positions.add("command", 1).add("operand", 1).add("file", -1);
     try {
         po::variables_map values;
         po::store(po::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
--- a/src/core/log.cc
+++ b/src/core/log.cc
@@ -1,9 +1,11 @@
 #include "figcleat/core/log.h"
 
+#include "figcleat/core/line-sink.h"
 #include "figcleat/core/log-output.h"
 
 #include <array>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 namespace figcleat
 {
@@ -41,9 +43,9 @@
     return loggers()[static_cast<std::size_t>(which)];
 }
 
-void logToStandardOutput()
+void logToStandardOutput(const clock &time)
 {
-    const auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+    const auto sink = std::make_shared<line_sink>(STDOUT_FILENO, time);
     for (const auto &logger : loggers()) {
         logger->sinks() = { sink };
     }
