Plan maps sooner after a crash of the leader and after a shift of demand

(1) After each loss of the leader 2 s passed until the next one ordered. (2) Demand shifts every 2 to 3 s, and two or three switches followed each shift, as plans were made for a mean of old and new choices. (3) Switches that gained 0.1 s kept the controller busy when the next shift came.

Ruled out: the time to load experts (0.43 s of about 1.3 s), rates of reports.

Change: a leader orders once every voter has answered in its term, and otherwise after 1.4 s (quorumTimeout is 1.2 s); the choices of the last 0.1 s replace the smoothed ones when the present map serves them badly; a gain below 0.2 s is left.

--- a/include/figcleat/daemon/map-operator.h
+++ b/include/figcleat/daemon/map-operator.h
@@ -37,8 +37,12 @@
 
     /** Services whose engines form groups; a change of them ends what is under way. */
     void setModels(std::map<service_id, group::group_model> models);
-    /** Term in which this coordinator leads; nothing while another one does. */
-    void setTerm(std::optional<std::uint64_t> term);
+    /**
+     * Term in which this coordinator leads; nothing while another one does.
+     *
+     * @param votersFollow every voter has answered in this term, so that none still leads an earlier one
+     */
+    void setTerm(std::optional<std::uint64_t> term, bool votersFollow);
     /** True while this coordinator leads and no earlier leader can still act. */
     [[nodiscard]] bool mayOrder() const;
     void receive(const peer_address &from, const forward::rank_report &report);
@@ -81,6 +85,7 @@
     std::map<service_id, group::group_model> m_models;
     std::optional<std::uint64_t> m_term;
     time_point m_leadsSince {};
+    bool m_votersFollow = false;
     std::map<group_id, group_record> m_groups;
     std::vector<forward::engine_condition> m_engines;
     std::map<std::string, std::unique_ptr<http_client>> m_clients;
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -104,6 +104,8 @@
     [[nodiscard]] map_version mapInUse() const;
 
 private:
+    using choice_counts = std::vector<std::vector<double>>;
+
     struct rank_state
     {
         engine_rank_status status;
@@ -146,6 +148,9 @@
     [[nodiscard]] rank_order orderFor(const rank_state &to) const;
     [[nodiscard]] bool takesPart(rank_number rank) const;
     [[nodiscard]] expert_map presentMap() const;
+    [[nodiscard]] plan_limits planLimits() const;
+    /** Load of the busiest rank over the mean; 0 without load. */
+    [[nodiscard]] double skewOf(const choice_counts &counts, const expert_map &map, const plan_limits &limits) const;
     [[nodiscard]] std::vector<expert_lists> inOrderForm(const std::vector<layer_map> &layers) const;
     void chooseStep();
     void note(std::string what);
@@ -170,7 +175,9 @@
     std::uint64_t m_unanswered = 0;
     time_point m_nextPlan {};
     /** Smoothed count of choices by set and expert. */
-    std::vector<std::vector<double>> m_popularity;
+    choice_counts m_popularity;
+    /** The same over a shorter time, to notice that demand has shifted. */
+    choice_counts m_recent;
     time_point m_popularityAt {};
     double m_skew = 0;
     std::uint64_t m_switches = 0;
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -34,6 +34,15 @@
     return logFor(part::agreed);
 }
 
+/** Every other voter has answered the leader in its term; an earlier leader among them has then stepped down. */
+bool votersFollow(const consensus::raft_status &log)
+{
+    return std::all_of(log.members.begin(), log.members.end(), [&log](const auto &one) {
+        return one.who.role != consensus::member_role::voter || one.who.identity == log.identity
+            || one.match != log_index {};
+    });
+}
+
 } // namespace
 
 coordinator_node::coordinator_node(node_context context)
@@ -442,7 +451,7 @@
     m_control->tick();
     const auto log = m_control->status();
     const bool leads = log.role == consensus::raft_role::leader;
-    m_maps.setTerm(leads ? std::optional(log.term.value) : std::nullopt);
+    m_maps.setTerm(leads ? std::optional(log.term.value) : std::nullopt, leads && votersFollow(log));
     m_maps.tick();
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -267,6 +267,10 @@
     pollCoordinators(m_revision);
     knowFronts();
     for (const auto &one : m_forwarder.loadSummary(now)) {
+        if (one.level == 0) {
+            // Only services that answer with streams have a level that changes.
+            continue;
+        }
         logger()->info("event=load service={} level={:.1f} busiest={:.1f} slots={} pause={:.2f} waiting={}",
                        one.service.value, one.level, one.busiest, one.slots, one.pause, one.waiting);
     }
--- a/src/daemon/map-operator.cc
+++ b/src/daemon/map-operator.cc
@@ -14,8 +14,11 @@
 namespace
 {
 
-/** A new leader orders nothing until its predecessor has stepped down, which takes `consensus::quorumTimeout`. */
-constexpr duration takeoverPeriod = std::chrono::seconds(2);
+/**
+ * A leader that a voter has not answered yet waits for as long as its predecessor may still take itself for the leader:
+ * `consensus::quorumTimeout`, and as long again as a coordinator may be late to notice.
+ */
+constexpr duration takeoverPeriod = std::chrono::milliseconds(1400);
 static_assert(takeoverPeriod > consensus::quorumTimeout);
 constexpr std::size_t maxGroups = 256;
 /** An engine answers within milliseconds, or has lost the answer. */
@@ -47,18 +50,20 @@
     }
 }
 
-void map_operator::setTerm(std::optional<std::uint64_t> term)
+void map_operator::setTerm(std::optional<std::uint64_t> term, bool votersFollow)
 {
     if (term != m_term) {
         m_term = term;
         m_leadsSince = m_parts.time->now();
+        m_votersFollow = false;
         m_groups.clear();
     }
+    m_votersFollow = m_votersFollow || votersFollow;
 }
 
 bool map_operator::mayOrder() const
 {
-    return m_term && m_parts.time->now() - m_leadsSince >= takeoverPeriod;
+    return m_term && (m_votersFollow || m_parts.time->now() - m_leadsSince >= takeoverPeriod);
 }
 
 void map_operator::receive(const peer_address &from, const forward::rank_report &report)
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -13,8 +13,15 @@
 
 /** Counts lose half of their weight in this time; demand shifts every few seconds. */
 constexpr double popularityHalfLifeSeconds = 0.35;
+/** The same for the counts that show a shift of demand: about as long as the reports of all ranks take. */
+constexpr double recentHalfLifeSeconds = 0.12;
+/** The recent counts alone are used if the present map serves them this much worse, and badly. */
+constexpr double shiftRatio = 1.2;
+constexpr double shiftSkew = 1.6;
+/** A smaller gain over `mapLifetime` is not worth being busy when demand shifts next. */
+constexpr double leastGainSeconds = 0.2;
 /** Plans are made this often while nothing is under way. */
-constexpr duration planPeriod = std::chrono::milliseconds(300);
+constexpr duration planPeriod = std::chrono::milliseconds(150);
 /** A report that is older says too little of a rank to begin a switch. */
 constexpr duration freshness = std::chrono::milliseconds(700);
 /** An order is sent again after this time; orders and their answers stay on one machine and one network. */
@@ -44,6 +51,18 @@
 /** Share of the step time that loading costs while it lasts (platform's description of its engines). */
 constexpr double loadingSlowdown = 0.15;
 
+/** Multiplies the sums by `kept` and adds the counts. */
+void addDecayed(std::vector<std::vector<double>> &sums, const expert_lists &counts, double kept)
+{
+    sums.resize(counts.size());
+    for (std::size_t set = 0; set < counts.size(); ++set) {
+        sums[set].resize(counts[set].size(), 0);
+        for (std::size_t expert = 0; expert < counts[set].size(); ++expert) {
+            sums[set][expert] = sums[set][expert] * kept + counts[set][expert];
+        }
+    }
+}
+
 } // namespace
 
 map_controller::map_controller(map_controller_settings settings)
@@ -138,16 +157,10 @@
     if (!fits) {
         return;
     }
-    m_popularity.resize(model.sets, std::vector<double>(model.experts, 0));
-    const double age = std::chrono::duration<double>(m_now - m_popularityAt).count();
-    const double kept = std::exp2(-std::max(0.0, age) / popularityHalfLifeSeconds);
+    const double age = std::max(0.0, std::chrono::duration<double>(m_now - m_popularityAt).count());
     m_popularityAt = m_now;
-    for (std::size_t set = 0; set < model.sets; ++set) {
-        for (std::size_t expert = 0; expert < model.experts; ++expert) {
-            auto &weight = m_popularity[set][expert];
-            weight = weight * kept + chosen[set][expert];
-        }
-    }
+    addDecayed(m_popularity, chosen, std::exp2(-age / popularityHalfLifeSeconds));
+    addDecayed(m_recent, chosen, std::exp2(-age / recentHalfLifeSeconds));
 }
 
 void map_controller::handle(const order_answered &event)
@@ -490,14 +503,9 @@
     return map;
 }
 
-void map_controller::planNext()
+plan_limits map_controller::planLimits() const
 {
     const auto &model = m_settings.model;
-    const auto present = presentMap();
-    if (m_popularity.empty() || !validate(present, model.placements)) {
-        return;
-    }
-    std::vector<layer_load> loads;
     plan_limits limits;
     limits.slotsPerRank = model.placements;
     limits.loadsPerRank = std::min(model.spare, loadsPerSwitch);
@@ -512,17 +520,42 @@
     for (const auto &[number, rank] : m_ranks) {
         limits.timePerToken.push_back(std::max(1.0, rank.status.pace));
     }
+    return limits;
+}
+
+double map_controller::skewOf(const choice_counts &counts, const expert_map &map, const plan_limits &limits) const
+{
     double busiest = 0;
     double mean = 0;
-    for (std::size_t set = 0; set < model.sets; ++set) {
-        loads.push_back({ m_popularity[set], 0, 0 });
-        const auto ranks = rankLoads(loads.back(), present.layers[set], limits, m_size);
+    for (std::size_t set = 0; set < counts.size(); ++set) {
+        const auto ranks = rankLoads({ counts[set], 0, 0 }, map.layers[set], limits, m_size);
         busiest += *std::max_element(ranks.begin(), ranks.end());
         mean += std::accumulate(ranks.begin(), ranks.end(), 0.0) / m_size;
     }
-    m_skew = mean > 0 ? busiest / mean : 0;
+    return mean > 0 ? busiest / mean : 0;
+}
+
+void map_controller::planNext()
+{
+    const auto present = presentMap();
+    if (m_popularity.empty() || !validate(present, m_settings.model.placements)) {
+        return;
+    }
+    const auto limits = planLimits();
+    m_skew = skewOf(m_popularity, present, limits);
+    const double recentSkew = skewOf(m_recent, present, limits);
+    if (recentSkew > shiftSkew && recentSkew > shiftRatio * m_skew) {
+        // A plan for the mean of old and new demand would serve neither.
+        note(fmt::format("shift=1 skew={:.2f} recent={:.2f}", m_skew, recentSkew));
+        m_popularity = m_recent;
+        m_skew = recentSkew;
+    }
+    std::vector<layer_load> loads;
+    for (const auto &set : m_popularity) {
+        loads.push_back({ set, 0, 0 });
+    }
     auto next = plan(loads, present, limits);
-    if (next.layers.empty()) {
+    if (next.layers.empty() || next.gainSeconds < leastGainSeconds) {
         return;
     }
     m_unanswered = 0;
