Let relays that took each other for silent find each other again

A relay that was stopped for a while takes the relays of other data centres for silent when it comes back, as they have not answered what it told before; it tells the next fronts, which pass nothing on. Test: 'the next front relays when the relay is silent' passes again, unchanged.

--- a/src/forward/load-exchange.cc
+++ b/src/forward/load-exchange.cc
@@ -1,6 +1,7 @@
 #include "figcleat/forward/load-exchange.h"
 
 #include <algorithm>
+#include <set>
 
 namespace figcleat::forward
 {
@@ -174,9 +175,15 @@
     use_sums here = sumOf(load_scope::node);
     add(here, own);
     for (const auto &[dataCentre, members] : m_fronts) {
-        const auto other = relayOf(dataCentre, now);
-        if (dataCentre != m_dataCentre && !other.empty()) {
-            messages.push_back({ other, { load_scope::data_centre, listOf(here) } });
+        if (dataCentre == m_dataCentre) {
+            continue;
+        }
+        // A relay that was suspended takes the others for silent and they it, until one of them is told something.
+        const std::set<peer_address> recipients { members.front(), relayOf(dataCentre, now) };
+        for (const auto &one : recipients) {
+            if (!one.empty()) {
+                messages.push_back({ one, { load_scope::data_centre, listOf(here) } });
+            }
         }
     }
     use_sums all = sumOf(load_scope::data_centre);
