Share what the two programs and two tests repeat

The end of both main functions is runProcess; the clock that tests move by hand is one class; a coordinator takes its start from node_base.

--- a/include/figcleat/core/process.h
+++ b/include/figcleat/core/process.h
@@ -3,6 +3,7 @@
 #include "figcleat/core/result-code.h"
 
 #include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace figcleat
@@ -17,4 +18,7 @@
 /** A closed connection and a file at the size limit become errors of the call instead of ending the process. */
 void ignoreWriteSignals();
 
+/** Runs a process; an invariant violation ends it with the status of its code. Returns the exit status. */
+[[nodiscard]] int runProcess(std::string_view program, const std::function<int()> &serve);
+
 } // namespace figcleat
--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -84,7 +84,6 @@
     forward::target_directory m_directory;
     std::map<peer_address, subscriber> m_subscribers;
     std::map<exchange_id, http_request> m_open;
-    time_point m_startedAt;
     map_operator m_maps;
     contact_list m_frontContacts;
     contact_list m_otherContacts;
--- a/include/figcleat/daemon/node-base.h
+++ b/include/figcleat/daemon/node-base.h
@@ -58,13 +58,13 @@
     std::uint64_t m_random;
     incarnation_id m_incarnation;
     peer_address m_self;
+    time_point m_startedAt;
     std::unique_ptr<messenger> m_messenger;
     coordinator_links m_links;
 
 private:
     void writePage(report::metrics_text &page) const;
 
-    time_point m_startedAt;
     std::unique_ptr<metrics_server> m_metrics;
 };
 
--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <fmt/format.h>
 #include <set>
 #include <sstream>
--- a/src/core/process.cc
+++ b/src/core/process.cc
@@ -1,5 +1,7 @@
 #include "figcleat/core/process.h"
 
+#include "figcleat/core/invariant.h"
+
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -27,4 +29,14 @@
     std::signal(SIGXFSZ, SIG_IGN);
 }
 
+int runProcess(std::string_view program, const std::function<int()> &serve)
+{
+    ignoreWriteSignals();
+    try {
+        return serve();
+    } catch (const invariant_violation &violation) {
+        return reportProblem(program, { violation.code(), violation.what() });
+    }
+}
+
 } // namespace figcleat
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -47,7 +47,6 @@
 
 coordinator_node::coordinator_node(node_context context)
     : node_base(std::move(context))
-    , m_startedAt(now())
     , m_maps(mapParts())
 {
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,4 +1,3 @@
-#include "figcleat/core/invariant.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/process.h"
 #include "figcleat/daemon/entry-node.h"
@@ -93,10 +92,6 @@
         return 0;
     }
     startLog(settings->logLevel, settings->vm.value);
-    ignoreWriteSignals();
-    try {
-        return settings->entry ? serve<entry_node>(*settings) : serve<target_node>(*settings);
-    } catch (const invariant_violation &violation) {
-        return reportProblem(program, { violation.code(), violation.what() });
-    }
+    return runProcess(program,
+                      [&] { return settings->entry ? serve<entry_node>(*settings) : serve<target_node>(*settings); });
 }
--- a/src/daemon/node-base.cc
+++ b/src/daemon/node-base.cc
@@ -13,8 +13,8 @@
     , m_random(context.random)
     , m_incarnation { context.random | 1U }
     , m_self { toString(socket_address { m_settings.ip, m_settings.mailboxPort }) }
-    , m_links(m_settings.seeds, m_self, m_time->now())
     , m_startedAt(m_time->now())
+    , m_links(m_settings.seeds, m_self, m_startedAt)
 {
 }
 
--- a/test/line-sink-test.cc
+++ b/test/line-sink-test.cc
@@ -1,4 +1,5 @@
 #include "figcleat/core/line-sink.h"
+#include "manual-clock.h"
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
@@ -11,26 +12,6 @@
 namespace
 {
 
-class manual_clock : public clock
-{
-public:
-    [[nodiscard]] time_point now() const override
-    {
-        return m_now;
-    }
-    [[nodiscard]] wall_time wallNow() const override
-    {
-        return {};
-    }
-    void advance(duration by)
-    {
-        m_now += by;
-    }
-
-private:
-    time_point m_now { 100s };
-};
-
 /** A logger whose lines go into a pipe that is read only on request. */
 class piped_logger
 {
--- a/test/map-operator-test.cc
+++ b/test/map-operator-test.cc
@@ -1,36 +1,12 @@
 #include "figcleat/consensus/raft.h"
 #include "figcleat/daemon/map-operator.h"
+#include "manual-clock.h"
 
 #include <catch2/catch.hpp>
 
 using namespace figcleat;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-class manual_clock : public clock
-{
-public:
-    [[nodiscard]] time_point now() const override
-    {
-        return m_now;
-    }
-    [[nodiscard]] wall_time wallNow() const override
-    {
-        return {};
-    }
-    void advance(duration by)
-    {
-        m_now += by;
-    }
-
-private:
-    time_point m_now { 100s };
-};
-
-} // namespace
-
 TEST_CASE("a new leader orders at once when every voter follows it", "[map]")
 {
     // Guards against streams that are late for seconds after each crash of a leader, and against two that order.
