Do not call a request refused whose end is not in the logs

Cause: found by reading; 'figcleat explain' took a request with lines of attempts only for refused, as it found no code and no count of attempts. The program of the commit before prints 'refused, no target ran it' for the line of the new test. Ruled out: that such logs do not occur; a front that was killed leaves them. Change: the cause is then that the end is not in these logs. Test: explain-test, 'a request whose end is not in the logs is not called refused'.

--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -74,6 +74,9 @@
 
 std::string causeOf(const log_line &end)
 {
+    if (end.event != "request") {
+        return "not known, the end of the request is not in these logs";
+    }
     const auto code = end.field("code");
     if (code == "ok") {
         return end.field("late") == "true" ? causeOfLateAnswer(end) : "answered in time";
--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -57,6 +57,15 @@
     CHECK(explain(ended("queued_ms=10 first_ms=900 pause_ms=50"), "r3").find("890 ms after") != std::string::npos);
 }
 
+TEST_CASE("a request whose end is not in the logs is not called refused", "[explain]")
+{
+    // Guards against a cause that no line supports: the front was killed, or its last lines were not written.
+    const auto log = linesOf(
+        "2026-04-21T05:40:47.100 info     edge-1 [request] event=attempt id=r4 target=t7 outcome=silent next=retry\n");
+    CHECK(explain(log, "r4").find("refused") == std::string::npos);
+    CHECK(explain(log, "r4").find("cause: not known") != std::string::npos);
+}
+
 TEST_CASE("an id that no line names and an id within another one explain nothing", "[explain]")
 {
     CHECK(explain(linesOf(refused), "r9").empty());
