Share small listeners, clients of peers and the end of a process

Found when the whole change was read again; no behaviour changes, and no test asserts less.

- Readiness and metrics had a handler each that answers at once: reply_server serves both.
- Fronts and map_operator each kept a map of clients by address and made them alike: http_client_pool.
- load_exchange sorted its fronts again with each poll, also when they were the same, and listed its sums once for each recipient; the count of fronts is derived from the list.
- The settings file of the platform's program stood in two tests: processes.node_settings.

--- a/include/figcleat/core/process.h
+++ b/include/figcleat/core/process.h
@@ -18,6 +18,12 @@
 /** A closed connection and a file at the size limit become errors of the call instead of ending the process. */
 void ignoreWriteSignals();
 
+/**
+ * Ends a process whose loop has stopped, with status 0. Nothing is torn down: all state is synced and all answers are
+ * sent, and nng_close of the listener sometimes does not return (nng 1.5.2).
+ */
+[[noreturn]] void endProcess();
+
 /** Runs a process; an invariant violation ends it with the status of its code. Returns the exit status. */
 [[nodiscard]] int runProcess(std::string_view program, const std::function<int()> &serve);
 
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "figcleat/daemon/front-metrics.h"
+#include "figcleat/daemon/http-client-pool.h"
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/forward/load-exchange.h"
-#include "figcleat/http/client.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -24,19 +24,7 @@
     void drain() override;
 
 private:
-    /** Answers the platform's question whether this front may get new connections. */
-    class readiness_handler : public http_handler
-    {
-    public:
-        explicit readiness_handler(front_node &owner);
-        void onRequest(exchange_id exchange, http_request request) override;
-        void onCallerGone(exchange_id exchange) override;
-        void onRejected(result_code code) override;
-
-    private:
-        front_node *m_owner;
-    };
-
+    [[nodiscard]] expected<void> openReadiness();
     [[nodiscard]] bool isReady() const;
 
     // http_handler, for callers
@@ -80,16 +68,13 @@
         std::string address;
     };
 
-    [[nodiscard]] http_client *clientFor(const std::string &address);
-
-    readiness_handler m_readinessHandler;
     std::unique_ptr<http_server> m_callers;
-    std::unique_ptr<http_server> m_readiness;
+    std::unique_ptr<reply_server> m_readiness;
     forward::target_directory m_directory;
     forward::forwarder m_forwarder;
     revision_number m_revision;
     std::uint64_t m_version = 0;
-    std::map<std::string, std::unique_ptr<http_client>> m_clients;
+    http_client_pool m_clients;
     std::map<attempt_number, open_attempt> m_attempts;
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
--- a/include/figcleat/daemon/map-operator.h
+++ b/include/figcleat/daemon/map-operator.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "figcleat/daemon/loop.h"
+#include "figcleat/daemon/http-client-pool.h"
 #include "figcleat/forward/dialect.h"
 #include "figcleat/forward/node-messages.h"
 #include "figcleat/group/map-controller.h"
-#include "figcleat/http/client.h"
 #include "figcleat/report/metrics-text.h"
 
 #include <functional>
@@ -77,7 +76,6 @@
     void carryOut(const group_id &group, group::send_order &order);
     /** Calls an engine whose agent does not answer. */
     void orderDirectly(const group_id &group, const group::send_order &order);
-    [[nodiscard]] http_client *clientOf(const std::string &address);
     void endDirectOrder(attempt_id attempt, group::order_result result);
     void reviewEngines();
 
@@ -88,7 +86,7 @@
     bool m_votersFollow = false;
     std::map<group_id, group_record> m_groups;
     std::vector<forward::engine_condition> m_engines;
-    std::map<std::string, std::unique_ptr<http_client>> m_clients;
+    http_client_pool m_clients;
     std::map<attempt_id, direct_order> m_directOrders;
     attempt_number m_lastDirectOrder;
 };
--- a/include/figcleat/daemon/node-base.h
+++ b/include/figcleat/daemon/node-base.h
@@ -2,8 +2,8 @@
 
 #include "figcleat/daemon/loop.h"
 #include "figcleat/daemon/messenger.h"
-#include "figcleat/daemon/metrics-server.h"
 #include "figcleat/daemon/node-links.h"
+#include "figcleat/daemon/reply-server.h"
 #include "figcleat/forward/dialect.h"
 
 #include <memory>
@@ -63,9 +63,9 @@
     coordinator_links m_links;
 
 private:
-    void writePage(report::metrics_text &page) const;
+    [[nodiscard]] forward::http_answer answerMetrics(const http_request &request) const;
 
-    std::unique_ptr<metrics_server> m_metrics;
+    std::unique_ptr<reply_server> m_metrics;
 };
 
 /** A node that has started; the error of the listener or data folder that could not be opened. */
--- a/include/figcleat/forward/load-exchange.h
+++ b/include/figcleat/forward/load-exchange.h
@@ -10,6 +10,9 @@
 namespace figcleat::forward
 {
 
+/** Requests of several fronts at each target. */
+using use_sums = std::map<target_id, target_use>;
+
 struct load_message
 {
     peer_address to;
@@ -56,8 +59,6 @@
     [[nodiscard]] bool isRelay(time_point now) const;
 
 private:
-    using use_sums = std::map<target_id, target_use>;
-
     struct heard_load
     {
         node_load load;
@@ -78,13 +79,14 @@
     [[nodiscard]] duration period() const;
     [[nodiscard]] std::vector<load_message> shareDirectly(const std::vector<target_use> &own) const;
     [[nodiscard]] std::vector<load_message> relay(const std::vector<target_use> &own, time_point now) const;
-    [[nodiscard]] use_sums sumOf(load_scope scope) const;
+    /** Adds what was heard in messages of one scope. */
+    void addHeard(use_sums &sums, load_scope scope) const;
     void forgetSilent(time_point now);
 
     peer_address m_self;
     data_centre_id m_dataCentre;
-    std::size_t m_frontCount = 0;
-    /** By data centre, in the order in which they become relays. */
+    std::vector<front_contact> m_known;
+    /** The same by data centre, in the order in which they become relays. */
     std::map<data_centre_id, std::vector<peer_address>> m_fronts;
     std::map<peer_address, contact_state> m_contacts;
     std::map<peer_address, heard_load> m_heard;
--- a/src/core/process.cc
+++ b/src/core/process.cc
@@ -3,8 +3,10 @@
 #include "figcleat/core/invariant.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
+#include <spdlog/spdlog.h>
 
 namespace figcleat
 {
@@ -29,6 +31,12 @@
     std::signal(SIGXFSZ, SIG_IGN);
 }
 
+void endProcess()
+{
+    spdlog::shutdown();
+    std::_Exit(0);
+}
+
 int runProcess(std::string_view program, const std::function<int()> &serve)
 {
     ignoreWriteSignals();
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -31,6 +31,13 @@
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
 
+constexpr http_client_settings callSettings { .connectTimeout = connectTimeout,
+                                              .firstByteTimeout = answerTimeout,
+                                              .progressTimeout = answerTimeout,
+                                              .endOfConnectionIsEnd = true,
+                                              .keepHost = true,
+                                              .keepAlive = false };
+
 auto logger()
 {
     return logFor(part::request);
@@ -70,34 +77,10 @@
 
 } // namespace
 
-front_node::readiness_handler::readiness_handler(front_node &owner)
-    : m_owner(&owner)
-{
-}
-
-void front_node::readiness_handler::onRequest(exchange_id exchange, http_request request)
-{
-    constexpr int okStatus = 200;
-    constexpr int unavailableStatus = 503;
-    constexpr int notFoundStatus = 404;
-    const bool isKnown = m_owner->m_dialect->isReadinessQuestion(request);
-    const int status = !isKnown ? notFoundStatus : (m_owner->isReady() ? okStatus : unavailableStatus);
-    m_owner->m_readiness->reply(exchange, status, {}, {});
-}
-
-void front_node::readiness_handler::onCallerGone(exchange_id /*exchange*/)
-{
-}
-
-void front_node::readiness_handler::onRejected(result_code code)
-{
-    logger()->warn("event=readiness_rejected code={}", describe(code).name);
-}
-
 front_node::front_node(node_context context)
     : node_base(std::move(context))
-    , m_readinessHandler(*this)
     , m_forwarder(forwarderSettings(m_settings, m_random))
+    , m_clients(m_loop, callSettings, *this)
     , m_loads(m_self, m_settings.dataCentre)
 {
     m_forwarder.pool().setDirectory(&m_directory);
@@ -113,13 +96,8 @@
         return tl::unexpected<error>(callers.error());
     }
     m_callers = std::move(*callers);
-    if (m_settings.readiness) {
-        auto readiness = http_server::open(m_loop->base(), m_settings.readiness->ip, m_settings.readiness->port, {},
-                                           m_readinessHandler);
-        if (!readiness) {
-            return tl::unexpected<error>(readiness.error());
-        }
-        m_readiness = std::move(*readiness);
+    if (auto readiness = openReadiness(); !readiness) {
+        return readiness;
     }
     m_shareLater = m_loop->deferred([this] { shareLoad(); });
     m_loop->every(tickPeriod, [this] { tick(); });
@@ -128,6 +106,28 @@
     return {};
 }
 
+expected<void> front_node::openReadiness()
+{
+    if (!m_settings.readiness) {
+        return {};
+    }
+    constexpr int okStatus = 200;
+    constexpr int unavailableStatus = 503;
+    constexpr int notFoundStatus = 404;
+    auto server = reply_server::open(
+        m_loop->base(), *m_settings.readiness, part::request, "readiness", [this](const http_request &request) {
+            const bool isKnown = m_dialect->isReadinessQuestion(request);
+            return forward::http_answer { !isKnown ? notFoundStatus : (isReady() ? okStatus : unavailableStatus),
+                                          {},
+                                          {} };
+        });
+    if (!server) {
+        return tl::unexpected<error>(server.error());
+    }
+    m_readiness = std::move(*server);
+    return {};
+}
+
 void front_node::drain()
 {
     if (m_drainStarted) {
@@ -324,28 +324,9 @@
     loop::trigger(m_shareLater);
 }
 
-http_client *front_node::clientFor(const std::string &address)
-{
-    auto &client = m_clients[address];
-    if (!client) {
-        const auto parsed = parseSocketAddress(address);
-        if (!parsed) {
-            return nullptr;
-        }
-        const http_client_settings settings { .connectTimeout = connectTimeout,
-                                              .firstByteTimeout = answerTimeout,
-                                              .progressTimeout = answerTimeout,
-                                              .endOfConnectionIsEnd = true,
-                                              .keepHost = true,
-                                              .keepAlive = false };
-        client = std::make_unique<http_client>(m_loop->base(), parsed->ip, parsed->port, settings, *this);
-    }
-    return client.get();
-}
-
 void front_node::carryOut(forward::start_attempt &action)
 {
-    http_client *client = clientFor(action.call.address);
+    http_client *client = m_clients.at(action.call.address);
     if (client == nullptr) {
         logger()->error("event=address_unusable target={} address={}", action.call.target.value, action.call.address);
         step(forward::attempt_broken { action.attempt, true });
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -5,7 +5,6 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 
 namespace
@@ -63,10 +62,7 @@
     logFor(part::daemon)->info("Serves in {}.", settings.dataCentre.value);
     eventLoop.run();
     logFor(part::daemon)->info("Has stopped.");
-    spdlog::shutdown();
-    // nng_close of the listener sometimes does not return (nng 1.5.2). All state is synced and all answers are sent, so
-    // that nothing is left to tear down.
-    std::_Exit(0);
+    endProcess();
 }
 
 } // namespace
--- a/src/daemon/map-operator.cc
+++ b/src/daemon/map-operator.cc
@@ -3,7 +3,6 @@
 #include "figcleat/consensus/raft.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
-#include "figcleat/settings/daemon-settings.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -30,6 +29,13 @@
 /** Versions of maps in one term; a later term begins above all versions of an earlier one. */
 constexpr std::uint64_t versionsPerTerm = 1'000'000;
 
+constexpr http_client_settings orderSettings { .connectTimeout = engineTimeout,
+                                               .firstByteTimeout = engineTimeout,
+                                               .progressTimeout = engineTimeout,
+                                               .endOfConnectionIsEnd = false,
+                                               .keepHost = false,
+                                               .keepAlive = false };
+
 auto logger()
 {
     return logFor(part::group);
@@ -39,6 +45,7 @@
 
 map_operator::map_operator(parts wiring)
     : m_parts(std::move(wiring))
+    , m_clients(m_parts.eventLoop, orderSettings, *this)
 {
 }
 
@@ -147,31 +154,12 @@
     }
 }
 
-http_client *map_operator::clientOf(const std::string &address)
-{
-    auto &client = m_clients[address];
-    if (!client) {
-        const auto parsed = parseSocketAddress(address);
-        if (!parsed) {
-            return nullptr;
-        }
-        const http_client_settings settings { .connectTimeout = engineTimeout,
-                                              .firstByteTimeout = engineTimeout,
-                                              .progressTimeout = engineTimeout,
-                                              .endOfConnectionIsEnd = false,
-                                              .keepHost = false,
-                                              .keepAlive = false };
-        client = std::make_unique<http_client>(m_parts.eventLoop->base(), parsed->ip, parsed->port, settings, *this);
-    }
-    return client.get();
-}
-
 void map_operator::orderDirectly(const group_id &group, const group::send_order &order)
 {
     const auto reports = m_groups.at(group).controller->reports(duration::max(), m_parts.time->now());
     const auto rank = std::find_if(reports.begin(), reports.end(),
                                    [&order](const auto &status) { return status.rank == order.rank; });
-    http_client *client = rank == reports.end() ? nullptr : clientOf(rank->address);
+    http_client *client = rank == reports.end() ? nullptr : m_clients.at(rank->address);
     if (client == nullptr) {
         logger()->error("event=direct_order group={} rank={} reason=no_address", group.value, order.rank);
         return;
--- a/src/daemon/node-base.cc
+++ b/src/daemon/node-base.cc
@@ -34,8 +34,8 @@
     if (!m_settings.metrics) {
         return {};
     }
-    auto server = metrics_server::open(m_loop->base(), *m_settings.metrics,
-                                       [this](report::metrics_text &page) { writePage(page); });
+    auto server = reply_server::open(m_loop->base(), *m_settings.metrics, part::report, "metrics",
+                                     [this](const http_request &request) { return answerMetrics(request); });
     if (!server) {
         return tl::unexpected<error>(server.error());
     }
@@ -65,8 +65,14 @@
     }
 }
 
-void node_base::writePage(report::metrics_text &page) const
+forward::http_answer node_base::answerMetrics(const http_request &request) const
 {
+    constexpr int okStatus = 200;
+    constexpr int methodNotAllowed = 405;
+    if (request.method != "GET") {
+        return { methodNotAllowed, {}, {} };
+    }
+    report::metrics_text page;
     const auto seconds = [](duration time) { return std::chrono::duration<double>(time).count(); };
     page.gauge("figcleat_uptime_seconds", "Time since the start of the process.", {}, seconds(now() - m_startedAt));
     page.gauge("figcleat_coordinators_heard", "Coordinators that answered lately.", {},
@@ -75,6 +81,7 @@
                seconds(now() - m_links.lastHeard().value_or(m_startedAt)));
     m_messenger->writeMetrics(page);
     writeMetrics(page);
+    return { okStatus, { { "Content-Type", report::metricsContentType } }, page.text() };
 }
 
 } // namespace figcleat
--- a/src/forward/load-exchange.cc
+++ b/src/forward/load-exchange.cc
@@ -9,8 +9,6 @@
 namespace
 {
 
-using use_sums = std::map<target_id, target_use>;
-
 void add(use_sums &sums, const std::vector<target_use> &uses)
 {
     for (const auto &one : uses) {
@@ -51,8 +49,11 @@
 
 void load_exchange::setFronts(const std::vector<front_contact> &fronts)
 {
+    if (fronts == m_known) {
+        return;
+    }
+    m_known = fronts;
     m_fronts.clear();
-    m_frontCount = fronts.size();
     for (const auto &one : fronts) {
         m_fronts[one.dataCentre].push_back(one.address);
     }
@@ -67,7 +68,7 @@
 
 bool load_exchange::isDirect() const
 {
-    return m_frontCount <= maxDirectFronts;
+    return m_known.size() <= maxDirectFronts;
 }
 
 bool load_exchange::isSilent(const peer_address &front, time_point now) const
@@ -172,8 +173,10 @@
 std::vector<load_message> load_exchange::relay(const std::vector<target_use> &own, time_point now) const
 {
     std::vector<load_message> messages;
-    use_sums here = sumOf(load_scope::node);
-    add(here, own);
+    use_sums all;
+    addHeard(all, load_scope::node);
+    add(all, own);
+    const auto here = listOf(all);
     for (const auto &[dataCentre, members] : m_fronts) {
         if (dataCentre == m_dataCentre) {
             continue;
@@ -182,12 +185,11 @@
         const std::set<peer_address> recipients { members.front(), relayOf(dataCentre, now) };
         for (const auto &one : recipients) {
             if (!one.empty()) {
-                messages.push_back({ one, { load_scope::data_centre, listOf(here) } });
+                messages.push_back({ one, { load_scope::data_centre, here } });
             }
         }
     }
-    use_sums all = sumOf(load_scope::data_centre);
-    add(all, listOf(here));
+    addHeard(all, load_scope::data_centre);
     const auto members = m_fronts.find(m_dataCentre);
     if (members == m_fronts.end()) {
         return messages;
@@ -206,23 +208,22 @@
     return messages;
 }
 
-load_exchange::use_sums load_exchange::sumOf(load_scope scope) const
+void load_exchange::addHeard(use_sums &sums, load_scope scope) const
 {
-    use_sums sums;
     for (const auto &[from, one] : m_heard) {
         if (one.load.scope == scope) {
             add(sums, one.load.uses);
         }
     }
-    return sums;
 }
 
 std::optional<std::vector<target_use>> load_exchange::others(time_point now) const
 {
     if (isDirect() || isRelay(now)) {
-        use_sums sums = sumOf(load_scope::node);
+        use_sums sums;
+        addHeard(sums, load_scope::node);
         if (!isDirect()) {
-            add(sums, listOf(sumOf(load_scope::data_centre)));
+            addHeard(sums, load_scope::data_centre);
         }
         return m_heard.empty() ? std::nullopt : std::optional(listOf(sums));
     }
--- a/test/platform-process-test.py
+++ b/test/platform-process-test.py
@@ -20,30 +20,6 @@
 COORDINATOR, FRONT = "127.0.0.2", "127.0.0.3"
 PAGE = (processes.ROOT / "docs/OPERATIONS.md").read_text()
 
-SETTINGS = """
-node = "{name}"
-ip = "{ip}"
-zone = "north"
-internal-ports = [{mailbox},{mailbox}]
-seeds = [{seeds}]
-bootstrap = true
-data-dir = "{folder}"
-[zones]
-north = "region"
-[listen]
-front = "{ip}:{callers}"
-ready = "{ip}:{readiness}"
-control = "{ip}:{control}"
-[fault-tolerance]
-machines = 0
-[bounds]
-grace-s = 8
-retry-budget-ratio = 0.2
-retry-budget-slack = 90
-retry-window-s = 10
-"""
-
-
 def route(name, service, kind, goal):
     return {"name": name, "host": "desk.example", "path-prefix": f"/{name}/", "type": kind, "timeout-ms": 3000,
             "goal-ms": goal, "priority": 1, "service": service, "attempts": 1, "public": True, "sticky": False,
@@ -120,8 +96,9 @@
         settings = cls.folder / f"{role}.toml"
         data = cls.folder / f"{role}-data"
         data.mkdir(exist_ok=True)
-        settings.write_text(SETTINGS.format(name=role, ip=ip, mailbox=MAILBOX, callers=CALLERS, readiness=READINESS,
-                                            control=CONTROL, folder=data, seeds=f'"{COORDINATOR}:{CONTROL}"'))
+        settings.write_text(processes.node_settings(
+            (MAILBOX, CALLERS, READINESS, CONTROL), ["north"], name=role, ip=ip, zone="north", folder=data, tolerated=0,
+            seeds=f'"{COORDINATOR}:{CONTROL}"'))
         with open(cls.folder / f"{role}.log", "ab") as log:
             cls.processes[role] = subprocess.Popen(
                 [processes.BUILD + "/figcleat-node", role, "--settings", settings, "--metrics-port", str(METRICS)],
--- a/test/processes.py
+++ b/test/processes.py
@@ -12,6 +12,38 @@
 
 BUILD = "build"
 
+# Settings file of the platform's program, as far as it reads it.
+NODE_SETTINGS = """
+node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+internal-ports = [{mailbox},{mailbox}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+data-dir = "{folder}"
+[zones]
+{zones}
+[listen]
+front = "{ip}:{callers}"
+ready = "{ip}:{readiness}"
+control = "{ip}:{control}"
+[fault-tolerance]
+machines = {tolerated}
+[bounds]
+grace-s = 8
+retry-budget-ratio = 0.2
+retry-budget-slack = 90
+retry-window-s = 10
+"""
+
+
+def node_settings(ports, zones, first=True, **fields):
+    """Text of a settings file; `ports` are those of mailbox, callers, readiness and control."""
+    mailbox, callers, readiness, control = ports
+    return NODE_SETTINGS.format(mailbox=mailbox, callers=callers, readiness=readiness, control=control,
+                                zones="\n".join(f'{zone} = "region"' for zone in zones),
+                                bootstrap="true" if first else "false", **fields)
+
 
 class DeploymentTest(unittest.TestCase):
     """Starts one small deployment for all tests of a class and stops it gracefully at the end."""
--- a/test/soak.py
+++ b/test/soak.py
@@ -18,35 +18,13 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+from processes import ROOT, node_settings
+
 FAULT_SECONDS = 6.0
 CALM_SECONDS = 4.0
 CALLERS = 8
 STREAM_EVENTS = 6
-SETTINGS = """
-node = "{name}"
-ip = "{ip}"
-zone = "{zone}"
-internal-ports = [{mailbox},{mailbox}]
-seeds = [{seeds}]
-bootstrap = {bootstrap}
-data-dir = "{folder}"
-[zones]
-north = "region"
-south = "region"
-west = "region"
-[listen]
-front = "{ip}:{callers}"
-ready = "{ip}:{readiness}"
-control = "{ip}:{control}"
-[fault-tolerance]
-machines = 1
-[bounds]
-grace-s = 8
-retry-budget-ratio = 0.2
-retry-budget-slack = 90
-retry-window-s = 10
-"""
+ZONES = ("north", "south", "west")
 
 
 def parse_head(head):
@@ -165,15 +143,13 @@
     # Processes.
 
     def start(self, name, first=False):
-        ip, zone = self.nodes[name], ("north", "south", "west")[int(name[-1]) % 3]
+        ip, zone = self.nodes[name], ZONES[int(name[-1]) % 3]
         data = self.folder / f"{name}-data"
         data.mkdir(exist_ok=True)
-        mailbox, callers, readiness, control = range(self.base_port, self.base_port + 4)
-        seeds = ",".join(f'"127.0.1.{i}:{control}"' for i in (1, 2, 3))
+        ports = range(self.base_port, self.base_port + 4)
         path = self.folder / f"{name}.toml"
-        path.write_text(SETTINGS.format(name=name, ip=ip, zone=zone, mailbox=mailbox, callers=callers, control=control,
-                                        readiness=readiness, seeds=seeds, folder=data,
-                                        bootstrap="true" if first else "false"))
+        path.write_text(node_settings(ports, ZONES, first, name=name, ip=ip, zone=zone, folder=data, tolerated=1,
+                                      seeds=",".join(f'"127.0.1.{i}:{ports[3]}"' for i in (1, 2, 3))))
         role = "front" if name.startswith("front") else "coordinator"
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen([self.build / "figcleat-node", role, "--settings", path],
