Reproduce requests that change between the caller and the target

Callers saw a target run a request that nobody had sent (UNASKED). Ruled out: the forwarder. The relay of the tests has none.

--- /dev/null
+++ b/test/http-server-test.cc
@@ -0,0 +1,272 @@
+#include "wire-harness.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace figcleat;
+using namespace figcleat::wire_test;
+
+namespace
+{
+
+constexpr auto okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/** Passes each request on to a raw target, as a front does. */
+class relay : public http_handler, public http_client_handler
+{
+public:
+    relay()
+        : m_port(freePort())
+        , m_server(*http_server::open(m_loop.base(), loopback, m_port, {}, *this))
+        , m_client(m_loop.base(), loopback, m_target.port(),
+                   { .firstByteTimeout = 2s, .progressTimeout = 2s, .keepHost = true }, *this)
+    {
+    }
+
+    /** Sends the pieces one by one on a new connection; the caller's answer, empty if there was none. */
+    std::string call(const std::vector<std::string> &pieces)
+    {
+        const auto caller = connectTo(m_port);
+        for (const auto &piece : pieces) {
+            caller->write(piece);
+            m_loop.runFor(1ms);
+            serve();
+        }
+        m_loop.runUntil(
+            [&] {
+                serve();
+                return !caller->received().empty() || caller->isClosed();
+            },
+            500ms);
+        return caller->received();
+    }
+
+    std::string callInTwo(const std::string &request, std::size_t cut)
+    {
+        return call({ request.substr(0, cut), request.substr(cut) });
+    }
+
+    /** Bytes that targets got since the last question, one entry for each connection. */
+    std::vector<std::string> takeReceived()
+    {
+        m_loop.runFor(1ms);
+        serve();
+        std::vector<std::string> all;
+        for (const auto &one : m_connections) {
+            all.push_back(one->received());
+        }
+        m_connections.clear();
+        m_answered.clear();
+        return all;
+    }
+
+    std::unique_ptr<raw_socket> connect()
+    {
+        return connectTo(m_port);
+    }
+
+    bool runUntil(const std::function<bool()> &isDone, duration limit = 1s)
+    {
+        return m_loop.runUntil(
+            [&] {
+                serve();
+                return isDone();
+            },
+            limit);
+    }
+
+    std::vector<http_request> requests;
+
+private:
+    /** Answers whatever comes, as soon as its head is there. */
+    void serve()
+    {
+        if (auto accepted = m_target.accept(); accepted) {
+            m_connections.push_back(std::move(accepted));
+        }
+        for (const auto &one : m_connections) {
+            if (one->received().find("\r\n\r\n") != std::string::npos && !m_answered.contains(one.get())) {
+                m_answered[one.get()] = true;
+                one->write(okAnswer);
+            }
+        }
+    }
+
+    void onRequest(exchange_id exchange, http_request request) override
+    {
+        requests.push_back(request);
+        m_client.start({ { 1 }, { exchange.value } },
+                       { request.method, request.path, request.headers, std::move(request.body) });
+    }
+    void onCallerGone(exchange_id exchange) override
+    {
+        m_client.cancel({ { 1 }, { exchange.value } });
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+    void onAnswerStart(attempt_id /*attempt*/, int status, const http_headers & /*headers*/) override
+    {
+        m_status = status;
+    }
+    void onBytes(attempt_id /*attempt*/, std::string_view bytes) override
+    {
+        m_body += bytes;
+    }
+    void onAnswerEnd(attempt_id attempt) override
+    {
+        m_server->reply({ attempt.number.value }, m_status, {}, std::exchange(m_body, {}));
+    }
+    void onFailure(attempt_id attempt, bool /*notSent*/) override
+    {
+        constexpr int badGateway = 502;
+        m_server->reply({ attempt.number.value }, badGateway, {}, {});
+    }
+
+    event_loop m_loop;
+    raw_listener m_target;
+    std::vector<std::unique_ptr<raw_socket>> m_connections;
+    std::map<raw_socket *, bool> m_answered;
+    std::uint16_t m_port;
+    std::unique_ptr<http_server> m_server;
+    http_client m_client;
+    int m_status = 0;
+    std::string m_body;
+};
+
+std::string requestLine(const std::string &bytes)
+{
+    return bytes.substr(0, bytes.find("\r\n"));
+}
+
+std::string headerLines(const std::string &request, const std::string &name)
+{
+    std::string found;
+    for (std::size_t at = 0, end = 0; (end = request.find("\r\n", at)) != std::string::npos && end != at;
+         at = end + 2) {
+        if (request.compare(at, name.size() + 1, name + ":") == 0) {
+            found += request.substr(at, end - at) + "\n";
+        }
+    }
+    return found;
+}
+
+std::string randomText(std::mt19937_64 &random, std::size_t most)
+{
+    constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~%+";
+    std::string text(1 + random() % most, '\0');
+    std::generate(text.begin(), text.end(), [&] { return letters[random() % letters.size()]; });
+    return text;
+}
+
+std::vector<std::string> inPieces(const std::string &bytes, std::mt19937_64 &random)
+{
+    constexpr std::size_t longestPiece = 12;
+    std::vector<std::string> pieces;
+    for (std::size_t at = 0; at < bytes.size(); at += pieces.back().size()) {
+        pieces.push_back(bytes.substr(at, 1 + random() % longestPiece));
+    }
+    return pieces;
+}
+
+} // namespace
+
+TEST_CASE("a request line that arrives in two pieces reaches the target unchanged", "[http-server]")
+{
+    const std::string line = "POST /abc/defgh?q=xy HTTP/1.1";
+    const std::string request = line + "\r\nHost: desk.example\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbody";
+    relay between;
+    for (std::size_t cut = 1; cut < request.size(); ++cut) {
+        INFO("cut after byte " << cut);
+        CHECK(between.callInTwo(request, cut).starts_with("HTTP/1.1 200 "));
+        const auto received = between.takeReceived();
+        REQUIRE(received.size() == 1);
+        CHECK(requestLine(received.front()) == line);
+        CHECK(headerLines(received.front(), "X-Id") == "X-Id: 7\n");
+        CHECK(received.front().ends_with("\r\n\r\nbody"));
+    }
+}
+
+TEST_CASE("random requests in small pieces reach the target unchanged", "[http-server]")
+{
+    constexpr int runs = 100;
+    constexpr std::uint64_t seed = 17;
+    std::mt19937_64 random(seed);
+    relay between;
+    for (int run = 0; run < runs; ++run) {
+        const std::string query = random() % 2 == 0 ? "" : "?" + randomText(random, 20) + "=" + randomText(random, 9);
+        const std::string line = "PUT /" + randomText(random, 12) + "/" + randomText(random, 24) + query + " HTTP/1.1";
+        const std::string id = randomText(random, 16);
+        const std::string body = randomText(random, 60);
+        const std::string request = line + "\r\nHost: desk.example\r\nX-Id: " + id
+            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        INFO("seed " << seed << ", run " << run << ": " << line);
+        CHECK(between.call(inPieces(request, random)).starts_with("HTTP/1.1 200 "));
+        const auto received = between.takeReceived();
+        REQUIRE(received.size() == 1);
+        CHECK(requestLine(received.front()) == line);
+        CHECK(headerLines(received.front(), "X-Id") == "X-Id: " + id + "\n");
+        CHECK(received.front().ends_with("\r\n\r\n" + body));
+    }
+}
+
+TEST_CASE("an empty query and a fragment reach the target as sent", "[http-server]")
+{
+    relay between;
+    for (const std::string target : { "/a?", "/a?b#c", "/a#c", "/a//b/../c?x=%20&y=/?z", "/a;p=1|{}" }) {
+        INFO(target);
+        between.call({ "GET " + target + " HTTP/1.1\r\nHost: desk.example\r\n\r\n" });
+        const auto received = between.takeReceived();
+        REQUIRE(received.size() == 1);
+        CHECK(requestLine(received.front()) == "GET " + target + " HTTP/1.1");
+    }
+}
+
+TEST_CASE("requests sent back to back on one connection are all answered in order", "[http-server]")
+{
+    relay between;
+    const auto caller = between.connect();
+    caller->write("POST /first HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none"
+                  "GET /second HTTP/1.1\r\nHost: a\r\n\r\n"
+                  "GET /third HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(between.runUntil([&] { return countOf(caller->received(), "HTTP/1.1 200 ") == 3; }));
+    REQUIRE(between.requests.size() == 3);
+    CHECK(between.requests[0].path == "/first");
+    CHECK(between.requests[0].body == "one");
+    CHECK(between.requests[1].path == "/second");
+    CHECK(between.requests[2].path == "/third");
+}
+
+TEST_CASE("blank lines before a request do not hold it up", "[http-server]")
+{
+    relay between;
+    CHECK(between.call({ "\r\n\r\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+    CHECK(between.call({ "\r\n", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+}
+
+TEST_CASE("a request that cannot be parsed is answered 400", "[http-server]")
+{
+    relay between;
+    for (const std::string request :
+         { "GET /a HTTP/1.1\nHost: a\n\n", "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", "no request\r\n\r\n",
+           "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+           "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+           "GET /a HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n" }) {
+        INFO(request);
+        CHECK(between.call({ request }).starts_with("HTTP/1.1 400 "));
+        CHECK(between.takeReceived().empty());
+    }
+}
+
+TEST_CASE("a body in chunks is received whole whatever the method", "[http-server]")
+{
+    relay between;
+    for (const std::string method : { "GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS" }) {
+        INFO(method);
+        between.call({ method + " /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n",
+                       "3\r\ntwo\r\n0\r\n\r\n" });
+        REQUIRE(!between.requests.empty());
+        CHECK(between.requests.back().method == method);
+        CHECK(between.requests.back().body == "onetwo");
+    }
+}
