Give every body that goes to a target a length

Callers saw a target run a request that was inside the body of another one. Cause: evhttp sets Content-Length for POST and PUT only, so that the body of GET, DELETE or PATCH followed the head without a length, and the target read it as the next request. OPTIONS could not be sent at all.

Ruled out: the server, which delivers these bodies whole since the change of its parser.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -33,8 +33,9 @@
 std::optional<evhttp_cmd_type> commandOf(const std::string &method)
 {
     static const std::unordered_map<std::string, evhttp_cmd_type> commands {
-        { "GET", EVHTTP_REQ_GET }, { "POST", EVHTTP_REQ_POST },     { "HEAD", EVHTTP_REQ_HEAD },
-        { "PUT", EVHTTP_REQ_PUT }, { "DELETE", EVHTTP_REQ_DELETE }, { "PATCH", EVHTTP_REQ_PATCH }
+        { "GET", EVHTTP_REQ_GET },        { "POST", EVHTTP_REQ_POST },     { "HEAD", EVHTTP_REQ_HEAD },
+        { "PUT", EVHTTP_REQ_PUT },        { "DELETE", EVHTTP_REQ_DELETE }, { "PATCH", EVHTTP_REQ_PATCH },
+        { "OPTIONS", EVHTTP_REQ_OPTIONS }
     };
     const auto found = commands.find(method);
     return found == commands.end() ? std::nullopt : std::optional(found->second);
@@ -277,6 +278,10 @@
     const std::string address = ip + ":" + std::to_string(port);
     evhttp_add_header(headers, "Host", host.empty() ? address.c_str() : host.data());
     evhttp_add_header(headers, "Connection", settings.keepAlive ? "keep-alive" : "close");
+    if (!what.body.empty()) {
+        // evhttp sets a length for POST and PUT only; without one the target takes the body for the next request.
+        evhttp_add_header(headers, "Content-Length", std::to_string(what.body.size()).c_str());
+    }
     evbuffer_add(evhttp_request_get_output_buffer(request), what.body.data(), what.body.size());
     restartTimer(running);
     if (evhttp_make_request(running.connection, request, command, what.path.c_str()) != 0) {
