Log method and path of a request with its end

A target that ran a request nobody sent could not be told from one that ran what its caller sent: the log of the front had the id only. event=request now gives method and path as received, so that a difference to the caller's record points before the handler, and one to the target's record behind it.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -177,6 +177,8 @@
 struct forward_ended
 {
     request_id id;
+    /** As received from the caller. */
+    std::shared_ptr<const caller_request> request;
     route_id route;
     workspace_id workspace;
     service_id service;
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -28,6 +28,8 @@
 constexpr duration idleCloseMargin = std::chrono::milliseconds(2500);
 /** One in so many answers in time is logged, by request id, so that a request has all of its lines or none. */
 constexpr std::uint64_t uneventfulPerLine = 64;
+/** A longer path is cut off in the log, so that callers cannot fill it. */
+constexpr std::size_t loggedPathBytes = 200;
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
 
@@ -389,11 +391,12 @@
     const auto level = isUneventful ? spdlog::level::debug : spdlog::level::info;
     logger()->log(level,
                   "event=request id={} route={} workspace={} service={} target={} code={} status={} attempts={} "
-                  "queued_ms={} first_ms={} pause_ms={} whole_ms={} late={} version={}",
+                  "queued_ms={} first_ms={} pause_ms={} whole_ms={} late={} version={} method={} path={}",
                   action.id.value, action.route.value, action.workspace.value, action.service.value,
                   action.target.value, describe(action.code).name, action.status, action.attempts,
                   wholeMs(action.queued), wholeMs(action.firstByte), wholeMs(action.longestPause),
-                  wholeMs(action.whole), action.isLate, action.configuration);
+                  wholeMs(action.whole), action.isLate, action.configuration, action.request->method,
+                  std::string_view(action.request->path).substr(0, loggedPathBytes));
 }
 
 void front_node::carryOut(const forward::attempt_note &action)
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -594,6 +594,7 @@
 {
     forward_ended ended;
     ended.id = state.request->id;
+    ended.request = state.request;
     ended.route = state.where == nullptr ? route_id {} : state.where->name;
     ended.workspace = state.workspace;
     ended.service = state.service;
