Send the whole last answer to a caller that has closed its side

A caller that shuts its side down after its last request lost what was still unsent of the answer: the end of its bytes ended the connection. The answer is now sent first.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -121,6 +121,8 @@
         bool keepAlive = true;
         bool takesChunks = true;
         bool isHead = false;
+        /** The caller sends nothing more; its last answer is still due. */
+        bool isHalfClosed = false;
         /** Unread bytes of a request that was rejected. */
         std::size_t discarded = 0;
     };
@@ -330,6 +332,10 @@
     if (to.now != phase::closing) {
         return;
     }
+    if (to.isHalfClosed) {
+        end(to);
+        return;
+    }
     // A close with unread bytes resets the connection, and with it the answer that the caller has not read yet.
     to.now = phase::lingering;
     ::shutdown(bufferevent_getfd(to.handle), SHUT_WR);
@@ -355,6 +361,10 @@
         bufferevent_enable(of.handle, EV_READ);
         return;
     }
+    if ((events & BEV_EVENT_EOF) != 0 && of.now == phase::closing) {
+        of.isHalfClosed = true;
+        return;
+    }
     end(of);
 }
 
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -134,6 +134,35 @@
     std::string m_body;
 };
 
+/** Answers each request with a body that exceeds the buffers of the socket. */
+class large_answer : public http_handler
+{
+public:
+    explicit large_answer(std::string body)
+        : m_body(std::move(body))
+    {
+    }
+
+    void onRequest(exchange_id exchange, http_request /*request*/) override
+    {
+        constexpr int ok = 200;
+        server->reply(exchange, ok, {}, m_body);
+        answered = true;
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+
+    http_server *server = nullptr;
+    bool answered = false;
+
+private:
+    std::string m_body;
+};
+
 std::string requestLine(const std::string &bytes)
 {
     return bytes.substr(0, bytes.find("\r\n"));
@@ -326,3 +355,19 @@
     CHECK(between.requests[1].path == "/?b");
     CHECK(findHeader(between.requests[0].headers, "Host") == "desk.example");
 }
+
+TEST_CASE("a caller that sends nothing more still reads the whole of its last answer", "[http-server]")
+{
+    event_loop loop;
+    const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
+    large_answer handler(body);
+    const auto port = freePort();
+    auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
+    handler.server = server.get();
+    const auto caller = connectTo(port);
+    caller->write("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    loop.runUntil([&] { return handler.answered; });
+    caller->finishWriting();
+    CHECK(loop.runUntil([&] { return caller->isClosed(); }));
+    CHECK(caller->received().ends_with("\r\n\r\n" + body));
+}
--- a/test/wire-harness.h
+++ b/test/wire-harness.h
@@ -95,6 +95,12 @@
         return sent < 0 ? 0 : static_cast<std::size_t>(sent);
     }
 
+    /** The other side reads the end of the connection; it can still write. */
+    void finishWriting() const
+    {
+        ::shutdown(m_descriptor, SHUT_WR);
+    }
+
     /** Everything received so far. */
     const std::string &received()
     {
