Keep the fields after a body in chunks out of the headers of a request

RFC 9110, 6.5.1: fields of a trailer are not to be merged.

Ruled out: taking the first fields of the message, since Beast keeps fields of one name together.

Change: the head is parsed by itself and its fields are copied before the body is read. The fields of a trailer are parsed within the limit for a head, and dropped.

After: http-server passes, 1001 checks.

--- a/src/http/request-reader.cc
+++ b/src/http/request-reader.cc
@@ -74,7 +74,8 @@
 void request_reader::start()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    // The head by itself first: the parser adds the fields after a body in chunks to those of the head.
+    m_parser->eager(false);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes + headOverheadBytes));
     m_parser->body_limit(m_limits.bodyBytes);
     m_isStarted = false;
@@ -133,10 +134,13 @@
         return result_code::ok;
     }
     m_isHeadChecked = true;
+    m_parser->eager(true);
     const auto &head = m_parser->get();
     std::size_t bytes = 0;
+    m_headers.clear();
     for (const auto &field : head) {
         bytes += field.name_string().size() + field.value().size();
+        m_headers.emplace_back(toView(field.name_string()), toView(field.value()));
     }
     if (bytes > m_limits.headerBytes) {
         return result_code::header_too_large;
@@ -166,9 +170,7 @@
     auto &request = received.request;
     request.method = toView(message.method_string());
     request.path = toView(message.target());
-    for (const auto &field : message) {
-        request.headers.emplace_back(toView(field.name_string()), toView(field.value()));
-    }
+    request.headers = std::move(m_headers);
     request.body = std::move(message.body());
     toOriginForm(request);
     start();
--- a/src/http/request-reader.h
+++ b/src/http/request-reader.h
@@ -54,6 +54,8 @@
 
     http_limits m_limits;
     std::optional<parser> m_parser;
+    /** Of the head only, without the fields after a body in chunks. */
+    http_headers m_headers;
     bool m_isStarted = false;
     bool m_isHeadChecked = false;
     bool m_awaitsContinue = false;
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -371,3 +371,19 @@
     CHECK(loop.runUntil([&] { return caller->isClosed(); }));
     CHECK(caller->received().ends_with("\r\n\r\n" + body));
 }
+
+TEST_CASE("fields after a body in chunks are not taken for headers of the request", "[http-server]")
+{
+    relay between;
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nX-Model: m\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string rest = "3\r\none\r\n0\r\nHost: b\r\nX-Model: n\r\nX-Late: 1\r\n\r\n";
+    for (const auto &pieces : std::vector<std::vector<std::string>> { { head + rest }, { head, rest } }) {
+        CHECK(between.call(pieces).starts_with("HTTP/1.1 200 "));
+        const auto received = between.takeReceived();
+        REQUIRE(received.size() == 1);
+        CHECK(headerLines(received.front(), "Host") == "Host: a\n");
+        CHECK(headerLines(received.front(), "X-Model") == "X-Model: m\n");
+        CHECK(headerLines(received.front(), "X-Late").empty());
+        CHECK(received.front().ends_with("\r\n\r\none"));
+    }
+}
