Take a blank line before a request that arrives in two pieces

A caller that ends a body with a line break got 400 on its next request if the network cut the line break in two. Cause: the reader skips a blank line only while both of its bytes are there; a lone CR went to the parser, which then met LF in the place of a method.

Change: a lone CR before a request stays in the buffer until the next byte tells what it begins.

--- a/src/http/request-reader.cc
+++ b/src/http/request-reader.cc
@@ -28,13 +28,16 @@
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-/** Callers often end a body with a line break of its own. */
-void skipBlankLines(evbuffer *input)
+/** Callers often end a body with a line break of its own. False while half of a blank line is all there is. */
+bool skipBlankLines(evbuffer *input)
 {
     std::array<char, 2> front {};
-    while (evbuffer_copyout(input, front.data(), front.size()) == 2 && front[0] == '\r' && front[1] == '\n') {
+    auto count = evbuffer_copyout(input, front.data(), front.size());
+    while (count == 2 && front[0] == '\r' && front[1] == '\n') {
         evbuffer_drain(input, front.size());
+        count = evbuffer_copyout(input, front.data(), front.size());
     }
+    return count != 1 || front[0] != '\r';
 }
 
 /** A line that ends with a bare LF: the parser would wait for the end of such a head until its limit. */
@@ -100,8 +103,8 @@
 
 result_code request_reader::read(evbuffer *input)
 {
-    if (!m_isStarted) {
-        skipBlankLines(input);
+    if (!m_isStarted && !skipBlankLines(input)) {
+        return result_code::ok;
     }
     while (!isWhole() && evbuffer_get_length(input) > 0) {
         m_isStarted = true;
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -387,3 +387,11 @@
         CHECK(received.front().ends_with("\r\n\r\none"));
     }
 }
+
+TEST_CASE("a blank line that arrives in two pieces does not spoil the next request", "[http-server]")
+{
+    relay between;
+    CHECK(between.call({ "\r", "\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+    CHECK(between.call({ "\r\n\r", "\n\r", "\n", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+    CHECK(between.call({ "\r", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 400 "));
+}
