Send no chunks after a head that ends its answer

A caller of HEAD on a stream route, or of a stream that its target answers 204 or 304, got chunks behind the head. Cause: only whole answers looked at the method and the status, streams did not.

Change: each exchange says whether its answer has a body; streams and whole answers follow it.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -120,7 +120,8 @@
         /** Of the current request. */
         bool keepAlive = true;
         bool takesChunks = true;
-        bool isHead = false;
+        /** False for an answer that ends with its head. */
+        bool hasBody = true;
         /** The caller sends nothing more; its last answer is still due. */
         bool isHalfClosed = false;
         /** Unread bytes of a request that was rejected. */
@@ -292,7 +293,7 @@
     from.now = phase::answering;
     from.keepAlive = received.keepAlive;
     from.takesChunks = received.takesChunks;
-    from.isHead = received.request.method == "HEAD";
+    from.hasBody = received.request.method != "HEAD";
     last = last.next();
     from.current = last;
     exchanges.emplace(last, &from);
@@ -456,15 +457,16 @@
         return;
     }
     const bool keepAlive = m_state->keepsAlive(*to);
+    to->hasBody = to->hasBody && !hasNoBody(status);
     std::string head = headOf(status, headers);
-    if (!hasNoBody(status) && !to->isHead) {
+    if (to->hasBody) {
         head += fmt::format("Content-Length: {}\r\n", body.size());
     }
     if (!keepAlive || !to->takesChunks) {
         head += keepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
     }
     m_state->sendHead(*to, std::move(head));
-    if (!hasNoBody(status) && !to->isHead) {
+    if (to->hasBody) {
         append(to->handle, body);
     }
     m_state->finishAnswer(*to, keepAlive);
@@ -475,8 +477,9 @@
     if (auto *to = m_state->find(exchange); to != nullptr) {
         // Without chunks the end of the connection is the end of the answer.
         to->keepAlive = m_state->keepsAlive(*to) && to->takesChunks;
+        to->hasBody = to->hasBody && !hasNoBody(status);
         std::string head = headOf(status, headers);
-        head += to->takesChunks ? "Transfer-Encoding: chunked\r\n" : "";
+        head += to->takesChunks && to->hasBody ? "Transfer-Encoding: chunked\r\n" : "";
         head += to->keepAlive ? "" : "Connection: close\r\n";
         m_state->sendHead(*to, std::move(head));
     }
@@ -485,7 +488,7 @@
 bool http_server::sendPiece(exchange_id exchange, std::string_view bytes)
 {
     auto *to = m_state->find(exchange);
-    if (to == nullptr || bytes.empty()) {
+    if (to == nullptr || !to->hasBody || bytes.empty()) {
         return true;
     }
     if (unsentBytes(to->handle) + bytes.size() > m_state->limits.bufferedAnswerBytes) {
@@ -502,7 +505,7 @@
 void http_server::endStream(exchange_id exchange)
 {
     if (auto *to = m_state->finish(exchange); to != nullptr) {
-        if (to->takesChunks) {
+        if (to->takesChunks && to->hasBody) {
             append(to->handle, "0\r\n\r\n");
         }
         m_state->finishAnswer(*to, to->keepAlive);
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -163,6 +163,34 @@
     std::string m_body;
 };
 
+/** Answers each request with a stream of one piece. */
+class stream_answer : public http_handler
+{
+public:
+    explicit stream_answer(int status)
+        : m_status(status)
+    {
+    }
+
+    void onRequest(exchange_id exchange, http_request /*request*/) override
+    {
+        server->startStream(exchange, m_status, {});
+        CHECK(server->sendPiece(exchange, "piece"));
+        server->endStream(exchange);
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+
+    http_server *server = nullptr;
+
+private:
+    int m_status;
+};
+
 std::string requestLine(const std::string &bytes)
 {
     return bytes.substr(0, bytes.find("\r\n"));
@@ -395,3 +423,30 @@
     CHECK(between.call({ "\r\n\r", "\n\r", "\n", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
     CHECK(between.call({ "\r", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 400 "));
 }
+
+TEST_CASE("an answer that has no body by its method or status ends with its head, also as a stream", "[http-server]")
+{
+    constexpr int ok = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    for (const auto &[method, status] :
+         { std::pair("HEAD", ok), std::pair("GET", noContent), std::pair("GET", notModified) }) {
+        INFO(method << " " << status);
+        event_loop loop;
+        stream_answer handler(status);
+        const auto port = freePort();
+        auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
+        handler.server = server.get();
+        const auto caller = connectTo(port);
+        const std::string request = std::string(method) + " /a HTTP/1.1\r\nHost: a\r\n\r\n";
+        caller->write(request + request);
+        CHECK(loop.runUntil([&] { return countOf(caller->received(), "HTTP/1.1 ") == 2; }));
+        loop.runFor(5ms);
+        const std::string &received = caller->received();
+        const auto second = received.find("HTTP/1.1 ", 1);
+        REQUIRE(second != std::string::npos);
+        CHECK(received.substr(0, second).find("\r\n\r\n") == second - 4);
+        CHECK(received.ends_with("\r\n\r\n"));
+        CHECK(countOf(received, "piece") == 0);
+    }
+}
