Send the whole answer of a kept connection to a caller that sends nothing more

A caller that closes its side after its request got the beginning of a long answer only, unless it had sent 'Connection: close'. Cause: only the phase 'closing' waits for unsent bytes at the end of the caller's side; an answer of a kept connection is being sent in the phase 'reading'.

A caller whose side ends before its answer is still taken for gone: the close of a socket looks the same, and its request must not go on for nothing.

Test before the change: 1 of 2 checks failed. After: http-server passes.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -362,7 +362,10 @@
         bufferevent_enable(of.handle, EV_READ);
         return;
     }
-    if ((events & BEV_EVENT_EOF) != 0 && of.now == phase::closing) {
+    const bool isBeingAnswered = of.now == phase::closing || (of.now == phase::reading && unsentBytes(of.handle) > 0);
+    if ((events & BEV_EVENT_EOF) != 0 && isBeingAnswered) {
+        evtimer_del(of.timer);
+        of.now = phase::closing;
         of.isHalfClosed = true;
         return;
     }
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -450,3 +450,19 @@
         CHECK(countOf(received, "piece") == 0);
     }
 }
+
+TEST_CASE("a caller that sends nothing more reads the whole answer of a kept connection", "[http-server]")
+{
+    event_loop loop;
+    const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
+    large_answer handler(body);
+    const auto port = freePort();
+    auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
+    handler.server = server.get();
+    const auto caller = connectTo(port);
+    caller->write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runUntil([&] { return handler.answered; });
+    caller->finishWriting();
+    CHECK(loop.runUntil([&] { return caller->isClosed(); }));
+    CHECK(caller->received().ends_with("\r\n\r\n" + body));
+}
