Pass on no header that concerns one connection only

Targets got the headers that a caller's Connection header lists, and callers got the Keep-Alive, Trailer and Upgrade of a target. A caller that heeds 'Keep-Alive: timeout=300' of a target uses its connection to the front after the 60 s at which the front closes it. Cause: fixed names were dropped on the way to the target only.

Headers of the platform are passed on even if they are listed there, as a target must run what the caller sent. The client takes away an answer's Connection header by itself, so that its list does not reach this filter.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -80,6 +80,32 @@
     CHECK(findHeader(sent.headers, "Authorization").empty());
 }
 
+TEST_CASE("headers that concern the caller's connection are not passed on to the target", "[platform]")
+{
+    http_request request = makeCall("GET", "/a");
+    request.headers = { { "Host", "desk.example" },
+                        { "connection", "keep-alive, x-hop" },
+                        { "Connection", "X-Second ,X-Figcleat-Model" },
+                        { "X-Hop", "1" },
+                        { "X-Second", "2" },
+                        { "X-Second", "3" },
+                        { "Keep-Alive", "timeout=5" },
+                        { "X-Figcleat-Model", "m" },
+                        { "X-Other", "kept" } };
+    const http_headers passedOn { { "X-Figcleat-Model", "m" }, { "X-Other", "kept" } };
+    CHECK(language.decodeRequest(request).headers == passedOn);
+}
+
+TEST_CASE("headers that concern the target's connection are not passed on to the caller", "[platform]")
+{
+    const http_headers sealed { { "X-Figcleat-Server-Seal", "s" }, { "X-Other", "kept" } };
+    http_headers received = sealed;
+    for (const auto *name : { "Keep-Alive", "Proxy-Connection", "Trailer", "Upgrade", "keep-alive" }) {
+        received.emplace_back(name, "timeout=300");
+    }
+    CHECK(language.decodeHead({}, 200, received).headers == sealed);
+}
+
 TEST_CASE("bytes that are not the target's answer are told from it", "[platform]")
 {
     forward::caller_request request;
