Let a new caller take the place of the connection unused for longest

A front takes up to 8,192 callers, while its process has 4,100 descriptors. With these used up by kept connections it can open none to its targets: each call fails unsent, and sound targets are taken for unreachable. Beyond the limit a new caller was refused even if all others were unused.

Change: a front has 1,800 callers at most, as each may need a second descriptor for its target; other servers keep their limit. At the limit the server closes the connection that was unused for longest, and refuses the new one only if all are in use.

Not measured: a front with 4,100 open descriptors.

--- a/include/figcleat/http/server.h
+++ b/include/figcleat/http/server.h
@@ -49,6 +49,7 @@
     /** A caller that is slower to send its request, or to read its answer, is cut off. */
     duration ioTimeout = std::chrono::seconds(10);
     std::size_t bufferedAnswerBytes = std::size_t { 1024 } * 1024;
+    std::size_t connections = 8192;
 };
 
 /**
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -19,6 +19,8 @@
 /** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
  */
 constexpr duration connectTimeout = std::chrono::milliseconds(250);
+/** A process has 4,100 descriptors, 200 of them for files; each caller may need a second one for its target. */
+constexpr std::size_t maxCallers = 1800;
 /** The forwarder ends silent attempts; this is above the longest route timeout. */
 constexpr duration answerTimeout = std::chrono::minutes(10);
 /** After a planned stop, time in which the platform notices that this front is not ready: two questions a second apart
@@ -93,7 +95,9 @@
     if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
         return opened;
     }
-    auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, {}, *this);
+    http_limits limits;
+    limits.connections = maxCallers;
+    auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, limits, *this);
     if (!callers) {
         return tl::unexpected<error>(callers.error());
     }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -23,7 +23,6 @@
 namespace
 {
 
-constexpr std::size_t maxConnections = 8192;
 constexpr int listenBacklog = 1024;
 constexpr duration idleTimeout = std::chrono::seconds(60);
 /** Bytes that wait while an answer is in progress; above the limit for a head, which is read in one piece. */
@@ -124,6 +123,8 @@
         bool hasBody = true;
         /** The caller sends nothing more; its last answer is still due. */
         bool isHalfClosed = false;
+        /** Grows with each use of any connection. */
+        std::uint64_t lastUse = 0;
         /** Unread bytes of a request that was rejected. */
         std::size_t discarded = 0;
     };
@@ -133,6 +134,7 @@
     event *acceptAgain = nullptr;
     event *reaper = nullptr;
     bool isStopping = false;
+    std::uint64_t uses = 0;
     http_limits limits;
     http_handler *handler = nullptr;
     std::unordered_map<connection *, std::unique_ptr<connection>> connections;
@@ -143,6 +145,8 @@
     ~state();
     [[nodiscard]] bool listen(const std::string &ip, std::uint16_t port);
     void accept(evutil_socket_t socket);
+    [[nodiscard]] bool makeRoom();
+    [[nodiscard]] static bool isUnused(const connection &what);
     void read(connection &from);
     void awaitRest(connection &from) const;
     void receive(connection &from);
@@ -211,10 +215,32 @@
     return true;
 }
 
+bool http_server::state::isUnused(const connection &what)
+{
+    return what.now == phase::reading && what.reader.isIdle() && unsentBytes(what.handle) == 0
+        && evbuffer_get_length(bufferevent_get_input(what.handle)) == 0;
+}
+
+/** Ends the connection that was unused for longest; false if all are in use. */
+bool http_server::state::makeRoom()
+{
+    connection *oldest = nullptr;
+    for (const auto &[one, owned] : connections) {
+        if (isUnused(*one) && (oldest == nullptr || one->lastUse < oldest->lastUse)) {
+            oldest = one;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    end(*oldest);
+    return true;
+}
+
 void http_server::state::accept(evutil_socket_t socket)
 {
-    if (connections.size() >= maxConnections) {
-        logFor(part::http)->warn("Refuses a connection: {} are open.", maxConnections);
+    if (connections.size() >= limits.connections && !makeRoom()) {
+        logFor(part::http)->warn("Refuses a connection: {} are open.", limits.connections);
         evutil_closesocket(socket);
         return;
     }
@@ -224,6 +250,7 @@
     auto owned = std::make_unique<connection>(limits);
     auto &made = *owned;
     made.server = this;
+    made.lastUse = ++uses;
     made.handle = bufferevent_socket_new(loop, socket, BEV_OPT_CLOSE_ON_FREE);
     made.timer = evtimer_new(
         loop,
@@ -428,6 +455,7 @@
         return;
     }
     to.now = phase::reading;
+    to.lastUse = ++uses;
     if (evbuffer_get_length(bufferevent_get_input(to.handle)) > 0) {
         bufferevent_trigger(to.handle, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
     }
@@ -543,8 +571,7 @@
 {
     std::vector<state::connection *> idle;
     for (const auto &[from, owned] : m_state->connections) {
-        const bool isIdle = from->now == state::phase::reading && from->reader.isIdle();
-        if (isIdle && unsentBytes(from->handle) == 0 && evbuffer_get_length(bufferevent_get_input(from->handle)) == 0) {
+        if (state::isUnused(*from)) {
             idle.push_back(from);
         }
     }
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -191,6 +191,29 @@
     int m_status;
 };
 
+/** Answers `/now` at once and no other request. */
+class some_answers : public http_handler
+{
+public:
+    void onRequest(exchange_id exchange, http_request request) override
+    {
+        constexpr int ok = 200;
+        ++requests;
+        if (request.path == "/now") {
+            server->reply(exchange, ok, {}, "ok");
+        }
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+
+    http_server *server = nullptr;
+    int requests = 0;
+};
+
 std::string requestLine(const std::string &bytes)
 {
     return bytes.substr(0, bytes.find("\r\n"));
@@ -466,3 +489,44 @@
     CHECK(loop.runUntil([&] { return caller->isClosed(); }));
     CHECK(caller->received().ends_with("\r\n\r\n" + body));
 }
+
+TEST_CASE("a new caller takes the place of the connection that was unused for longest", "[http-server]")
+{
+    event_loop loop;
+    some_answers handler;
+    const auto port = freePort();
+    http_limits limits;
+    limits.connections = 3;
+    auto server = *http_server::open(loop.base(), loopback, port, limits, handler);
+    handler.server = server.get();
+    const std::string now = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string later = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto call = [&](raw_socket &caller, const std::string &request) {
+        const int before = handler.requests;
+        caller.write(request);
+        CHECK(loop.runUntil([&] { return handler.requests > before || caller.isClosed(); }));
+        loop.runFor(2ms);
+    };
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.push_back(connectTo(port));
+        call(*callers.back(), now);
+    }
+    call(*callers[0], now);
+    call(*callers[2], later);
+
+    callers.push_back(connectTo(port));
+    call(*callers[3], later);
+    CHECK(handler.requests == 6);
+    CHECK(callers[1]->isClosed());
+    CHECK_FALSE(callers[0]->isClosed());
+    CHECK_FALSE(callers[2]->isClosed());
+
+    // Without an unused connection the new one is refused; no request in progress is cut off.
+    call(*callers[0], later);
+    callers.push_back(connectTo(port));
+    CHECK(loop.runUntil([&] { return callers[4]->isClosed(); }));
+    for (const int busy : { 0, 2, 3 }) {
+        CHECK_FALSE(callers[busy]->isClosed());
+    }
+}
