--- a/src/http/request-reader.cc
+++ b/src/http/request-reader.cc
@@ -28,13 +28,16 @@
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-/** Callers often end a body with a line break of its own. */
-void skipBlankLines(evbuffer *input)
+/** Callers often end a body with a line break of its own. False while half of a blank line is all there is. */
+bool skipBlankLines(evbuffer *input)
 {
     std::array<char, 2> front {};
-    while (evbuffer_copyout(input, front.data(), front.size()) == 2 && front[0] == '\r' && front[1] == '\n') {
+    auto count = evbuffer_copyout(input, front.data(), front.size());
+    while (count == 2 && front[0] == '\r' && front[1] == '\n') {
         evbuffer_drain(input, front.size());
+        count = evbuffer_copyout(input, front.data(), front.size());
     }
+    return count != 1 || front[0] != '\r';
 }
 
 /** A line that ends with a bare LF: the parser would wait for the end of such a head until its limit. */
@@ -74,7 +77,8 @@
 void request_reader::start()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    // The head by itself first: the parser adds the fields after a body in chunks to those of the head.
+    m_parser->eager(false);
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes + headOverheadBytes));
     m_parser->body_limit(m_limits.bodyBytes);
     m_isStarted = false;
@@ -99,8 +103,8 @@
 
 result_code request_reader::read(evbuffer *input)
 {
-    if (!m_isStarted) {
-        skipBlankLines(input);
+    if (!m_isStarted && !skipBlankLines(input)) {
+        return result_code::ok;
     }
     while (!isWhole() && evbuffer_get_length(input) > 0) {
         m_isStarted = true;
@@ -133,10 +137,13 @@
         return result_code::ok;
     }
     m_isHeadChecked = true;
+    m_parser->eager(true);
     const auto &head = m_parser->get();
     std::size_t bytes = 0;
+    m_headers.clear();
     for (const auto &field : head) {
         bytes += field.name_string().size() + field.value().size();
+        m_headers.emplace_back(toView(field.name_string()), toView(field.value()));
     }
     if (bytes > m_limits.headerBytes) {
         return result_code::header_too_large;
@@ -166,9 +173,7 @@
     auto &request = received.request;
     request.method = toView(message.method_string());
     request.path = toView(message.target());
-    for (const auto &field : message) {
-        request.headers.emplace_back(toView(field.name_string()), toView(field.value()));
-    }
+    request.headers = std::move(m_headers);
     request.body = std::move(message.body());
     toOriginForm(request);
     start();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -23,7 +23,6 @@
 namespace
 {
 
-constexpr std::size_t maxConnections = 8192;
 constexpr int listenBacklog = 1024;
 constexpr duration idleTimeout = std::chrono::seconds(60);
 /** Bytes that wait while an answer is in progress; above the limit for a head, which is read in one piece. */
@@ -120,9 +119,12 @@
         /** Of the current request. */
         bool keepAlive = true;
         bool takesChunks = true;
-        bool isHead = false;
+        /** False for an answer that ends with its head. */
+        bool hasBody = true;
         /** The caller sends nothing more; its last answer is still due. */
         bool isHalfClosed = false;
+        /** Grows with each use of any connection. */
+        std::uint64_t lastUse = 0;
         /** Unread bytes of a request that was rejected. */
         std::size_t discarded = 0;
     };
@@ -132,6 +134,7 @@
     event *acceptAgain = nullptr;
     event *reaper = nullptr;
     bool isStopping = false;
+    std::uint64_t uses = 0;
     http_limits limits;
     http_handler *handler = nullptr;
     std::unordered_map<connection *, std::unique_ptr<connection>> connections;
@@ -142,6 +145,8 @@
     ~state();
     [[nodiscard]] bool listen(const std::string &ip, std::uint16_t port);
     void accept(evutil_socket_t socket);
+    [[nodiscard]] bool makeRoom();
+    [[nodiscard]] static bool isUnused(const connection &what);
     void read(connection &from);
     void awaitRest(connection &from) const;
     void receive(connection &from);
@@ -210,10 +215,32 @@
     return true;
 }
 
+bool http_server::state::isUnused(const connection &what)
+{
+    return what.now == phase::reading && what.reader.isIdle() && unsentBytes(what.handle) == 0
+        && evbuffer_get_length(bufferevent_get_input(what.handle)) == 0;
+}
+
+/** Ends the connection that was unused for longest; false if all are in use. */
+bool http_server::state::makeRoom()
+{
+    connection *oldest = nullptr;
+    for (const auto &[one, owned] : connections) {
+        if (isUnused(*one) && (oldest == nullptr || one->lastUse < oldest->lastUse)) {
+            oldest = one;
+        }
+    }
+    if (oldest == nullptr) {
+        return false;
+    }
+    end(*oldest);
+    return true;
+}
+
 void http_server::state::accept(evutil_socket_t socket)
 {
-    if (connections.size() >= maxConnections) {
-        logFor(part::http)->warn("Refuses a connection: {} are open.", maxConnections);
+    if (connections.size() >= limits.connections && !makeRoom()) {
+        logFor(part::http)->warn("Refuses a connection: {} are open.", limits.connections);
         evutil_closesocket(socket);
         return;
     }
@@ -223,6 +250,7 @@
     auto owned = std::make_unique<connection>(limits);
     auto &made = *owned;
     made.server = this;
+    made.lastUse = ++uses;
     made.handle = bufferevent_socket_new(loop, socket, BEV_OPT_CLOSE_ON_FREE);
     made.timer = evtimer_new(
         loop,
@@ -292,7 +320,7 @@
     from.now = phase::answering;
     from.keepAlive = received.keepAlive;
     from.takesChunks = received.takesChunks;
-    from.isHead = received.request.method == "HEAD";
+    from.hasBody = received.request.method != "HEAD";
     last = last.next();
     from.current = last;
     exchanges.emplace(last, &from);
@@ -361,7 +389,10 @@
         bufferevent_enable(of.handle, EV_READ);
         return;
     }
-    if ((events & BEV_EVENT_EOF) != 0 && of.now == phase::closing) {
+    const bool isBeingAnswered = of.now == phase::closing || (of.now == phase::reading && unsentBytes(of.handle) > 0);
+    if ((events & BEV_EVENT_EOF) != 0 && isBeingAnswered) {
+        evtimer_del(of.timer);
+        of.now = phase::closing;
         of.isHalfClosed = true;
         return;
     }
@@ -424,6 +455,7 @@
         return;
     }
     to.now = phase::reading;
+    to.lastUse = ++uses;
     if (evbuffer_get_length(bufferevent_get_input(to.handle)) > 0) {
         bufferevent_trigger(to.handle, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
     }
@@ -456,15 +488,16 @@
         return;
     }
     const bool keepAlive = m_state->keepsAlive(*to);
+    to->hasBody = to->hasBody && !hasNoBody(status);
     std::string head = headOf(status, headers);
-    if (!hasNoBody(status) && !to->isHead) {
+    if (to->hasBody) {
         head += fmt::format("Content-Length: {}\r\n", body.size());
     }
     if (!keepAlive || !to->takesChunks) {
         head += keepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
     }
     m_state->sendHead(*to, std::move(head));
-    if (!hasNoBody(status) && !to->isHead) {
+    if (to->hasBody) {
         append(to->handle, body);
     }
     m_state->finishAnswer(*to, keepAlive);
@@ -475,8 +508,9 @@
     if (auto *to = m_state->find(exchange); to != nullptr) {
         // Without chunks the end of the connection is the end of the answer.
         to->keepAlive = m_state->keepsAlive(*to) && to->takesChunks;
+        to->hasBody = to->hasBody && !hasNoBody(status);
         std::string head = headOf(status, headers);
-        head += to->takesChunks ? "Transfer-Encoding: chunked\r\n" : "";
+        head += to->takesChunks && to->hasBody ? "Transfer-Encoding: chunked\r\n" : "";
         head += to->keepAlive ? "" : "Connection: close\r\n";
         m_state->sendHead(*to, std::move(head));
     }
@@ -485,7 +519,7 @@
 bool http_server::sendPiece(exchange_id exchange, std::string_view bytes)
 {
     auto *to = m_state->find(exchange);
-    if (to == nullptr || bytes.empty()) {
+    if (to == nullptr || !to->hasBody || bytes.empty()) {
         return true;
     }
     if (unsentBytes(to->handle) + bytes.size() > m_state->limits.bufferedAnswerBytes) {
@@ -502,7 +536,7 @@
 void http_server::endStream(exchange_id exchange)
 {
     if (auto *to = m_state->finish(exchange); to != nullptr) {
-        if (to->takesChunks) {
+        if (to->takesChunks && to->hasBody) {
             append(to->handle, "0\r\n\r\n");
         }
         m_state->finishAnswer(*to, to->keepAlive);
@@ -537,8 +571,7 @@
 {
     std::vector<state::connection *> idle;
     for (const auto &[from, owned] : m_state->connections) {
-        const bool isIdle = from->now == state::phase::reading && from->reader.isIdle();
-        if (isIdle && unsentBytes(from->handle) == 0 && evbuffer_get_length(bufferevent_get_input(from->handle)) == 0) {
+        if (state::isUnused(*from)) {
             idle.push_back(from);
         }
     }
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -163,6 +163,57 @@
     std::string m_body;
 };
 
+/** Answers each request with a stream of one piece. */
+class stream_answer : public http_handler
+{
+public:
+    explicit stream_answer(int status)
+        : m_status(status)
+    {
+    }
+
+    void onRequest(exchange_id exchange, http_request /*request*/) override
+    {
+        server->startStream(exchange, m_status, {});
+        CHECK(server->sendPiece(exchange, "piece"));
+        server->endStream(exchange);
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+
+    http_server *server = nullptr;
+
+private:
+    int m_status;
+};
+
+/** Answers `/now` at once and no other request. */
+class some_answers : public http_handler
+{
+public:
+    void onRequest(exchange_id exchange, http_request request) override
+    {
+        constexpr int ok = 200;
+        ++requests;
+        if (request.path == "/now") {
+            server->reply(exchange, ok, {}, "ok");
+        }
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code /*code*/) override
+    {
+    }
+
+    http_server *server = nullptr;
+    int requests = 0;
+};
+
 std::string requestLine(const std::string &bytes)
 {
     return bytes.substr(0, bytes.find("\r\n"));
@@ -371,3 +422,111 @@
     CHECK(loop.runUntil([&] { return caller->isClosed(); }));
     CHECK(caller->received().ends_with("\r\n\r\n" + body));
 }
+
+TEST_CASE("fields after a body in chunks are not taken for headers of the request", "[http-server]")
+{
+    relay between;
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nX-Model: m\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string rest = "3\r\none\r\n0\r\nHost: b\r\nX-Model: n\r\nX-Late: 1\r\n\r\n";
+    for (const auto &pieces : std::vector<std::vector<std::string>> { { head + rest }, { head, rest } }) {
+        CHECK(between.call(pieces).starts_with("HTTP/1.1 200 "));
+        const auto received = between.takeReceived();
+        REQUIRE(received.size() == 1);
+        CHECK(headerLines(received.front(), "Host") == "Host: a\n");
+        CHECK(headerLines(received.front(), "X-Model") == "X-Model: m\n");
+        CHECK(headerLines(received.front(), "X-Late").empty());
+        CHECK(received.front().ends_with("\r\n\r\none"));
+    }
+}
+
+TEST_CASE("a blank line that arrives in two pieces does not spoil the next request", "[http-server]")
+{
+    relay between;
+    CHECK(between.call({ "\r", "\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+    CHECK(between.call({ "\r\n\r", "\n\r", "\n", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 200 "));
+    CHECK(between.call({ "\r", "GET /a HTTP/1.1\r\nHost: a\r\n\r\n" }).starts_with("HTTP/1.1 400 "));
+}
+
+TEST_CASE("an answer that has no body by its method or status ends with its head, also as a stream", "[http-server]")
+{
+    constexpr int ok = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    for (const auto &[method, status] :
+         { std::pair("HEAD", ok), std::pair("GET", noContent), std::pair("GET", notModified) }) {
+        INFO(method << " " << status);
+        event_loop loop;
+        stream_answer handler(status);
+        const auto port = freePort();
+        auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
+        handler.server = server.get();
+        const auto caller = connectTo(port);
+        const std::string request = std::string(method) + " /a HTTP/1.1\r\nHost: a\r\n\r\n";
+        caller->write(request + request);
+        CHECK(loop.runUntil([&] { return countOf(caller->received(), "HTTP/1.1 ") == 2; }));
+        loop.runFor(5ms);
+        const std::string &received = caller->received();
+        const auto second = received.find("HTTP/1.1 ", 1);
+        REQUIRE(second != std::string::npos);
+        CHECK(received.substr(0, second).find("\r\n\r\n") == second - 4);
+        CHECK(received.ends_with("\r\n\r\n"));
+        CHECK(countOf(received, "piece") == 0);
+    }
+}
+
+TEST_CASE("a caller that sends nothing more reads the whole answer of a kept connection", "[http-server]")
+{
+    event_loop loop;
+    const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
+    large_answer handler(body);
+    const auto port = freePort();
+    auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
+    handler.server = server.get();
+    const auto caller = connectTo(port);
+    caller->write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runUntil([&] { return handler.answered; });
+    caller->finishWriting();
+    CHECK(loop.runUntil([&] { return caller->isClosed(); }));
+    CHECK(caller->received().ends_with("\r\n\r\n" + body));
+}
+
+TEST_CASE("a new caller takes the place of the connection that was unused for longest", "[http-server]")
+{
+    event_loop loop;
+    some_answers handler;
+    const auto port = freePort();
+    http_limits limits;
+    limits.connections = 3;
+    auto server = *http_server::open(loop.base(), loopback, port, limits, handler);
+    handler.server = server.get();
+    const std::string now = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string later = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto call = [&](raw_socket &caller, const std::string &request) {
+        const int before = handler.requests;
+        caller.write(request);
+        CHECK(loop.runUntil([&] { return handler.requests > before || caller.isClosed(); }));
+        loop.runFor(2ms);
+    };
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.push_back(connectTo(port));
+        call(*callers.back(), now);
+    }
+    call(*callers[0], now);
+    call(*callers[2], later);
+
+    callers.push_back(connectTo(port));
+    call(*callers[3], later);
+    CHECK(handler.requests == 6);
+    CHECK(callers[1]->isClosed());
+    CHECK_FALSE(callers[0]->isClosed());
+    CHECK_FALSE(callers[2]->isClosed());
+
+    // Without an unused connection the new one is refused; no request in progress is cut off.
+    call(*callers[0], later);
+    callers.push_back(connectTo(port));
+    CHECK(loop.runUntil([&] { return callers[4]->isClosed(); }));
+    for (const int busy : { 0, 2, 3 }) {
+        CHECK_FALSE(callers[busy]->isClosed());
+    }
+}
