Log and count registrations that are refused for their address

A coordinator refused a registration without a word when another target of the same start held its address, so that nobody could tell whether ids still change on the way.

The refusal stays: two targets cannot have one address, and without it a changed copy takes the place of a sound target. A line event=registration_refused reason=address_claimed and the counter figcleat_registrations_refused_total now tell of it. target-directory-test checks the count.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -73,6 +73,8 @@
     void onUpdate(const envelope &received, const forward::node_update &update);
     /** Collects the contacts that updates name, once for all of them. */
     void collectContacts();
+    /** Tells the log of a registration that is refused for its address. */
+    bool merge(const forward::registration &what, time_point now);
     void applyRoutes();
     void publish();
     void update(const peer_address &to, subscriber &who);
--- a/include/figcleat/forward/target-directory.h
+++ b/include/figcleat/forward/target-directory.h
@@ -99,6 +99,8 @@
     [[nodiscard]] const directory_entry *find(const target_id &target) const;
     [[nodiscard]] const std::map<target_id, directory_entry> &entries() const;
     [[nodiscard]] std::uint64_t version() const;
+    /** Registrations that were refused since another target of the same start has their address. */
+    [[nodiscard]] std::uint64_t refusedClaims() const;
     /** Entries after `version`, with their remaining cold time as of `now`. */
     [[nodiscard]] std::vector<registration> changesAfter(std::uint64_t version, change_filter filter,
                                                          time_point now) const;
@@ -110,6 +112,7 @@
 
     std::map<target_id, directory_entry> m_entries;
     std::uint64_t m_version = 0;
+    std::uint64_t m_refusedClaims = 0;
 };
 
 } // namespace figcleat::forward
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -123,6 +123,9 @@
                static_cast<double>(held.revision.value));
     page.gauge("figcleat_targets", "Registrations that are known.", {},
                static_cast<double>(m_directory.entries().size()));
+    page.counter("figcleat_registrations_refused_total",
+                 "Registrations refused because another target of the same start has their address.", {},
+                 m_directory.refusedClaims());
     page.gauge("figcleat_subscribers", "Nodes that poll this coordinator.", {},
                static_cast<double>(m_subscribers.size()));
     for (const auto &[code, count] : m_commands) {
@@ -194,11 +197,12 @@
     }
     const auto &what = call.what;
     if (!isKnown(what.dataCentre)) {
-        logger()->warn("event=registration_refused target={} data_centre={}", what.target.value, what.dataCentre.value);
+        logger()->warn("event=registration_refused reason=unknown_data_centre target={} data_centre={}",
+                       what.target.value, what.dataCentre.value);
         answer(exchange, { .code = result_code::malformed_request, .detail = "unknown data centre" });
         return;
     }
-    if (m_directory.merge(what, m_time->now())) {
+    if (merge(what, m_time->now())) {
         logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{}",
                        what.target.value, what.service.value, what.address, static_cast<int>(what.state),
                        what.coldLeftMs, what.order.startedMs, what.order.sequence);
@@ -207,6 +211,17 @@
     answer(exchange, {});
 }
 
+bool coordinator_node::merge(const forward::registration &what, time_point now)
+{
+    const auto refused = m_directory.refusedClaims();
+    const bool isNews = m_directory.merge(what, now);
+    if (m_directory.refusedClaims() != refused) {
+        logger()->warn("event=registration_refused reason=address_claimed target={} address={} order={}.{}",
+                       what.target.value, what.address, what.order.startedMs, what.order.sequence);
+    }
+    return isNews;
+}
+
 void coordinator_node::carryOut(exchange_id exchange, const forward::deregister_target &call)
 {
     if (!isConnected()) {
@@ -426,7 +441,7 @@
     m_links.onUpdate(received.from, received.incarnation, update, now);
     bool isNews = false;
     for (const auto &one : update.changes) {
-        isNews = m_directory.merge(one, now) || isNews;
+        isNews = merge(one, now) || isNews;
     }
     if (isNews) {
         publish();
--- a/src/forward/target-directory.cc
+++ b/src/forward/target-directory.cc
@@ -36,6 +36,7 @@
         return false;
     }
     if (isFirst && isClaimedByOther(what, now)) {
+        ++m_refusedClaims;
         return false;
     }
     const time_point coldUntil = now + milliseconds(what.coldLeftMs);
@@ -135,6 +136,11 @@
     return m_version;
 }
 
+std::uint64_t target_directory::refusedClaims() const
+{
+    return m_refusedClaims;
+}
+
 std::vector<registration> target_directory::changesAfter(std::uint64_t version, change_filter filter,
                                                          time_point now) const
 {
--- a/test/target-directory-test.cc
+++ b/test/target-directory-test.cc
@@ -90,6 +90,10 @@
     CHECK_FALSE(directory.merge(spoiled, start + 1s));
     CHECK(directory.find({ "t:1" }) == nullptr);
     CHECK(stateOf(directory) == registration_state::ready);
+    // Operators see from the count whether such ids still come; registrations that are merely old do not count.
+    CHECK(directory.refusedClaims() == 1);
+    CHECK_FALSE(directory.merge(makeRegistration(1, 1), start + 1s));
+    CHECK(directory.refusedClaims() == 1);
 }
 
 TEST_CASE("a spoiled registration that came first gives way to the target", "[forward]")
