Reproduce answers without end

A target in trouble may send bytes that are no answer, without end, until the caller closes. A front has 160 MB for 4,096 requests.

--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -1,6 +1,7 @@
 #include "figcleat/forward/forwarder.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace figcleat;
 using namespace figcleat::forward;
@@ -418,3 +419,51 @@
     (void)f.step(answer_bytes { first, "id: 1\ndata: a\n\n" });
     CHECK(find<start_attempt>(f.step(forward_tick {})) != nullptr);
 }
+
+TEST_CASE("answers without end at many targets do not take a node's memory", "[forward][endless-answer]")
+{
+    // Guards against a node that runs out of its 160 MB: each answer may have 8 MiB, and there are 4,096 requests.
+    constexpr std::size_t mib = std::size_t { 1024 } * 1024;
+    constexpr std::size_t bound = 32 * mib;
+    constexpr std::uint64_t calls = 8;
+    const std::string piece(64 * std::size_t { 1024 }, 'a');
+    fixture f;
+    std::map<attempt_number, std::size_t> held;
+    for (std::uint64_t i = 1; i <= calls; ++i) {
+        const auto attempt = startedIn(f.arrive(i, bookingPath));
+        f.step(answer_started { attempt, fixture::head(200) });
+        held[attempt] = 0;
+    }
+    std::size_t most = 0;
+    std::size_t refused = 0;
+    for (std::size_t sent = 0; sent < 7 * mib; sent += piece.size()) {
+        for (auto one = held.begin(); one != held.end();) {
+            const auto actions = f.step(answer_bytes { one->first, piece });
+            one->second += piece.size();
+            if (const auto *failed = find<refuse_request>(actions); failed != nullptr) {
+                CHECK(failed->why.code == result_code::buffer_full);
+                CHECK(find<cancel_attempt>(actions) != nullptr);
+                ++refused;
+                one = held.erase(one);
+            } else {
+                ++one;
+            }
+            std::size_t sum = 0;
+            for (const auto &[attempt, bytes] : held) {
+                sum += bytes;
+            }
+            most = std::max(most, sum);
+        }
+    }
+    CHECK(most <= bound);
+    CHECK(refused > 0);
+    // What ended has given its share back.
+    for (const auto &[attempt, bytes] : held) {
+        CHECK(find<pass_answer>(f.step(answer_ended { attempt })) != nullptr);
+    }
+    for (std::uint64_t i = calls + 1; i <= calls + 4; ++i) {
+        const auto attempt = startedIn(f.arrive(i, bookingPath));
+        const auto actions = f.answer(attempt, 200, std::string(7 * mib, 'a'));
+        CHECK(find<pass_answer>(actions) != nullptr);
+    }
+}
