Bound the bytes of answers that a node holds

Each answer that is no stream may have 8 MiB and each event of a stream 1 MiB, for up to 4,096 requests; only the sum has to do with the 160 MB of a front, and it had no bound. The forwarder counts what waits to be whole: answers, events that have begun, and answers of failed targets that are kept in case there is no better one. An attempt that passes 32 MiB fails with buffer_full, as one that passes its own limit does.

--- a/include/figcleat/forward/event-splitter.h
+++ b/include/figcleat/forward/event-splitter.h
@@ -20,6 +20,7 @@
 
     [[nodiscard]] bool hasPartial() const;
     [[nodiscard]] bool isTooLong() const;
+    [[nodiscard]] std::size_t partialBytes() const;
     /** Id of the last whole event that had one. */
     [[nodiscard]] const std::string &lastId() const;
 
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -249,6 +249,8 @@
 public:
     /** Bytes of an answer that is no stream. */
     static constexpr std::size_t maxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
+    /** Bytes of all answers and events that wait to be whole: a fifth of the 160 MB of a front. */
+    static constexpr std::size_t maxHeldBytes = std::size_t { 32 } * 1024 * 1024;
     static constexpr std::size_t maxRequests = 4096;
 
     explicit forwarder(forwarder_settings settings);
@@ -308,6 +310,8 @@
         /** Is in the queue for room at a target. */
         bool isWaiting = false;
         event_splitter events;
+        /** Bytes of this request's part in `m_heldBytes`. */
+        std::size_t heldBytes = 0;
     };
 
     void handle(const request_arrived &event);
@@ -339,6 +343,8 @@
     /** Ends the current attempt and goes on elsewhere if that is allowed, else ends the request. */
     void retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code);
     void endAttempt(request_state &state, attempt_result result);
+    /** Call after each change of what the request holds of its answers. */
+    void countHeld(request_state &state);
     void passEvents(exchange_id exchange, request_state &state, std::string_view bytes);
     void finishAnswer(exchange_id exchange, request_state &state, answer_head head, std::string body);
     void giveUp(exchange_id exchange, request_state &state, result_code code);
@@ -357,6 +363,7 @@
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
+    std::size_t m_heldBytes = 0;
     /** Smoothed rate of attempts started, a second. */
     struct start_rate
     {
--- a/src/forward/event-splitter.cc
+++ b/src/forward/event-splitter.cc
@@ -69,6 +69,11 @@
     return m_waiting.size() > maxEventBytes;
 }
 
+std::size_t event_splitter::partialBytes() const
+{
+    return m_waiting.size();
+}
+
 const std::string &event_splitter::lastId() const
 {
     return m_lastId;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -315,6 +315,17 @@
         m_pool.onEnded(found->second.target, result, found->second.readsPrompt, m_now);
         m_attempts.erase(found);
     }
+    countHeld(state);
+}
+
+void forwarder::countHeld(request_state &state)
+{
+    const auto attempt = m_attempts.find(state.current);
+    std::size_t held = attempt == m_attempts.end() ? 0 : attempt->second.body.size();
+    held += state.fallback ? state.fallback->body.size() : 0;
+    held += state.events.partialBytes();
+    m_heldBytes = m_heldBytes - state.heldBytes + held;
+    state.heldBytes = held;
 }
 
 void forwarder::retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code)
@@ -408,7 +419,8 @@
         return;
     }
     attempt.body += event.bytes;
-    if (attempt.body.size() > maxAnswerBytes) {
+    countHeld(state);
+    if (attempt.body.size() > maxAnswerBytes || m_heldBytes > maxHeldBytes) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
         state.runs += 1;
         endAttempt(state, attempt_result::failed);
@@ -419,6 +431,7 @@
 void forwarder::passEvents(exchange_id exchange, request_state &state, std::string_view bytes)
 {
     std::string whole = state.events.push(bytes);
+    countHeld(state);
     if (!whole.empty()) {
         if (state.firstByte) {
             state.longestPause = std::max(state.longestPause, m_now - state.lastEvent);
@@ -427,7 +440,7 @@
         state.firstByte = state.firstByte.value_or(m_now);
         m_actions.emplace_back(send_events { exchange, std::move(whole) });
     }
-    if (state.events.isTooLong()) {
+    if (state.events.isTooLong() || m_heldBytes > maxHeldBytes) {
         m_actions.emplace_back(cancel_attempt { state.current });
         state.runs += 1;
         endAttempt(state, attempt_result::failed);
@@ -453,8 +466,8 @@
 {
     if (state.streaming) {
         const bool isWhole = head.isEventStream && !state.events.hasPartial();
-        endAttempt(state, isWhole ? attempt_result::answered : attempt_result::failed);
         state.events.dropPartial();
+        endAttempt(state, isWhole ? attempt_result::answered : attempt_result::failed);
         if (!isWhole) {
             retryOrFail(exchange, state, true, result_code::stream_broken);
             return;
@@ -463,13 +476,13 @@
         finish(exchange, state, result_code::ok, head.status);
         return;
     }
-    const bool isFailure = head.status >= firstErrorStatus;
-    endAttempt(state, isFailure ? attempt_result::failed : attempt_result::answered);
-    if (isFailure) {
+    if (head.status >= firstErrorStatus) {
         state.fallback = pass_answer { exchange, std::move(head), std::move(body) };
+        endAttempt(state, attempt_result::failed);
         retryOrFail(exchange, state, true, result_code::engine_failed);
         return;
     }
+    endAttempt(state, attempt_result::answered);
     state.firstByte = state.firstByte.value_or(m_now);
     const int status = head.status;
     m_actions.emplace_back(pass_answer { exchange, std::move(head), std::move(body) });
@@ -612,6 +625,7 @@
             || (state.streaming && state.where->maxGap.count() > 0 && ended.longestPause > state.where->maxGap));
     ended.configuration = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
+    m_heldBytes -= state.heldBytes;
     m_requests.erase(exchange);
 }
 
