Read answers with Boost.Beast instead of evhttp

A target that sends header lines, interim answers, chunk sizes or junk without end held its call until the time limit and took the memory of the caller's process: 16 to 72 MB for each call in the test endless-answer, 290 MB for 128 calls of 512 KiB. evhttp has no bound for what it collects before an answer's head is whole, and it collects a chunk before it hands it on. Ruled out: evhttp_connection_set_max_headers_size alone, which is off by default and leaves interim answers, chunk sizes and whole chunks.

- The client is a bufferevent with Boost.Beast's parser, one for each call.
A head above 16 KiB or 128 lines with its interim answers, a chunk size or trailers above 4 KiB, or a malformed answer fails the call at once.
Bytes of a body are handed on as they come, without a copy.
The number of lines counts because the parser takes about 100 bytes for each header: without it, 128 calls took 5.13 MB against the bound of 5.0 MB.
- maxBodyBytes bounds the body for clients that collect it: agents, health probes, orders and the command line.
- Any method can be sent.
A call that cannot be written as HTTP fails from the loop; before, a method that evhttp does not know failed inside start.
- Headers that the target's Connection header names are not handed on.
Lines that end with a bare LF are refused.
- A kept connection that is closed or has unread bytes, and bytes that arrive before the call has left, serve no call.

--- a/include/figcleat/http/client.h
+++ b/include/figcleat/http/client.h
@@ -41,11 +41,16 @@
     bool keepHost = false;
     /** Connections are used again, for a peer on the same VM that is called often. */
     bool keepAlive = false;
+    /** An answer with a longer body has failed; 0 if the handler has its own limit. */
+    std::uint64_t maxBodyBytes = 0;
 };
 
 /**
- * HTTP client over evhttp: one connection for each call at a time, so that a silent connection holds back one call
- * only.
+ * HTTP client on libevent with the parser of Boost.Beast: one connection for each call at a time, so that a silent
+ * connection holds back one call only.
+ *
+ * Interim answers are skipped. A head above 16 KiB or 128 lines, interim answers included, or a malformed answer fails
+ * the call at once; bytes of a body are handed on as they come.
  *
  * It never sends a call twice.
  */
--- a/src/cli/operator-client.cc
+++ b/src/cli/operator-client.cc
@@ -12,6 +12,8 @@
 {
 
 constexpr attempt_id onlyCall { { 1 }, { 1 } };
+/** Far above the longest report, so that an entry in trouble does not take the operator's memory. */
+constexpr std::uint64_t maxAnswerBytes = std::uint64_t { 64 } * 1024 * 1024;
 
 /** Gathers the one answer and ends the loop. */
 class answer_collector : public http_client_handler
@@ -107,8 +109,9 @@
     loop eventLoop;
     answer_collector collector(eventLoop);
     {
-        http_client client(eventLoop.base(), m_entry.ip, m_entry.port,
-                           { .firstByteTimeout = m_timeout, .progressTimeout = m_timeout }, collector);
+        http_client client(
+            eventLoop.base(), m_entry.ip, m_entry.port,
+            { .firstByteTimeout = m_timeout, .progressTimeout = m_timeout, .maxBodyBytes = maxAnswerBytes }, collector);
         client.start(onlyCall, { method, path, { { "Authorization", "Bearer " + m_credential } }, body });
         eventLoop.run();
     }
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -23,6 +23,8 @@
 constexpr duration loadingWatchPeriod = std::chrono::milliseconds(50);
 /** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
 constexpr duration engineTimeout = std::chrono::milliseconds(50);
+/** Lists of experts of all layers are the longest answers; an agent has 128 MB. */
+constexpr std::uint64_t maxAnswerBytes = std::uint64_t { 4 } * 1024 * 1024;
 
 auto logger()
 {
@@ -61,7 +63,8 @@
                                         .progressTimeout = engineTimeout,
                                         .endOfConnectionIsEnd = false,
                                         .keepHost = false,
-                                        .keepAlive = true };
+                                        .keepAlive = true,
+                                        .maxBodyBytes = maxAnswerBytes };
     m_engine
         = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
     m_loop->every(pollPeriod, [this] { poll(); });
--- a/src/daemon/engine-client.cc
+++ b/src/daemon/engine-client.cc
@@ -144,7 +144,8 @@
     probes(loop &eventLoop, const socket_address &engine, bool cancelsLeftovers, const calls &running,
            event_function onEvent)
         : m_client(eventLoop.base(), engine.ip, engine.port,
-                   { .firstByteTimeout = probeTimeout, .progressTimeout = probeTimeout }, *this)
+                   { .firstByteTimeout = probeTimeout, .progressTimeout = probeTimeout, .maxBodyBytes = maxProbeBytes },
+                   *this)
         , m_running(&running)
         , m_onEvent(std::move(onEvent))
         , m_leftoversEnded(!cancelsLeftovers)
--- a/src/daemon/map-operator.cc
+++ b/src/daemon/map-operator.cc
@@ -29,12 +29,16 @@
 /** Versions of maps in one term; a later term begins above all versions of an earlier one. */
 constexpr std::uint64_t versionsPerTerm = 1'000'000;
 
+/** Only the status of an answer to an order counts. */
+constexpr std::uint64_t maxOrderAnswerBytes = std::uint64_t { 64 } * 1024;
+
 constexpr http_client_settings orderSettings { .connectTimeout = engineTimeout,
                                                .firstByteTimeout = engineTimeout,
                                                .progressTimeout = engineTimeout,
                                                .endOfConnectionIsEnd = false,
                                                .keepHost = false,
-                                               .keepAlive = false };
+                                               .keepAlive = false,
+                                               .maxBodyBytes = maxOrderAnswerBytes };
 
 auto logger()
 {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,14 +1,17 @@
 #include "figcleat/http/client.h"
 
-#include <algorithm>
-#include <array>
+#include "request-head.h"
+#include "response-reader.h"
+
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <event2/util.h>
+#include <limits>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,45 +22,16 @@
 namespace
 {
 
-// Headers that concern one connection only, and the length, which the client sets itself.
-constexpr std::array<std::string_view, 5> connectionHeaders { "connection", "content-length", "host",
-                                                              "transfer-encoding", "expect" };
+/** Connections that wait for their next call. */
+constexpr std::size_t maxIdle = 4;
 
-bool isConnectionHeader(const std::string &name)
+/** Closed, or with bytes that belong to no call. */
+bool isSpoiled(bufferevent *connection)
 {
-    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [&name](std::string_view known) {
-        return known.size() == name.size() && evutil_ascii_strncasecmp(known.data(), name.data(), name.size()) == 0;
-    });
-}
-
-std::optional<evhttp_cmd_type> commandOf(const std::string &method)
-{
-    static const std::unordered_map<std::string, evhttp_cmd_type> commands {
-        { "GET", EVHTTP_REQ_GET },        { "POST", EVHTTP_REQ_POST },     { "HEAD", EVHTTP_REQ_HEAD },
-        { "PUT", EVHTTP_REQ_PUT },        { "DELETE", EVHTTP_REQ_DELETE }, { "PATCH", EVHTTP_REQ_PATCH },
-        { "OPTIONS", EVHTTP_REQ_OPTIONS }
-    };
-    const auto found = commands.find(method);
-    return found == commands.end() ? std::nullopt : std::optional(found->second);
-}
-
-http_headers headersOf(evhttp_request *request)
-{
-    http_headers headers;
-    const evkeyvalq *list = evhttp_request_get_input_headers(request);
-    for (const evkeyval *header = list->tqh_first; header != nullptr; header = header->next.tqe_next) {
-        headers.emplace_back(header->key, header->value);
-    }
-    return headers;
-}
-
-/** Without a length or chunks, the end of the connection cannot be told from a cut. */
-bool endIsMarked(int status, const http_headers &headers, bool isHead)
-{
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return isHead || status == noContent || status == notModified || !findHeader(headers, "Content-Length").empty()
-        || !findHeader(headers, "Transfer-Encoding").empty();
+    char next = 0;
+    const auto got = ::recv(bufferevent_getfd(connection), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+    return evbuffer_get_length(bufferevent_get_input(connection)) > 0 || got >= 0
+        || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 } // namespace
@@ -66,61 +40,84 @@
 {
     struct call
     {
-        state *client = nullptr;
-        attempt_id attempt;
-        evhttp_connection *connection = nullptr;
-        event *progressTimer = nullptr;
-        bool isHead = false;
-        bool started = false;
-        bool endMarked = false;
-        bool sentBytes = false;
-        /** The timer runs for the answer, not for the connection. */
-        bool timesAnswer = false;
-
-        evbuffer_cb_entry *sentWatch = nullptr;
-
+        call(state &of, attempt_id number, const service_call &what)
+            : client(&of)
+            , attempt(number)
+            , reader(what.method == "HEAD", of.bodyLimit())
+        {
+        }
         ~call()
         {
-            event_free(progressTimer);
+            event_free(timer);
             if (connection != nullptr) {
-                evhttp_connection_free(connection);
+                bufferevent_free(connection);
             }
         }
+        call(const call &) = delete;
+        call &operator=(const call &) = delete;
+
+        /** Some bytes of the call have left. */
+        [[nodiscard]] bool isSent() const
+        {
+            return connection != nullptr && evbuffer_get_length(bufferevent_get_output(connection)) < requestBytes;
+        }
+
+        state *client;
+        attempt_id attempt;
+        response_reader reader;
+        bufferevent *connection = nullptr;
+        event *timer = nullptr;
+        std::size_t requestBytes = 0;
+        bool started = false;
+        /** The timer runs for the answer, not for the connection. */
+        bool timesAnswer = false;
+        /** The target takes no more of the call; it may have answered all the same. */
+        bool isCut = false;
+        bool hasEnded = false;
     };
 
     event_base *loop = nullptr;
-    std::string ip;
-    std::uint16_t port = 0;
+    std::string address;
+    /** Absent if the address cannot be used. */
+    std::optional<sockaddr_storage> socketAddress;
+    int socketAddressBytes = 0;
     http_client_settings settings;
     http_client_handler *handler = nullptr;
     std::unordered_map<attempt_id, std::unique_ptr<call>> calls;
     /** Ended calls; freed by an event of their own, since libevent may still be using the connection. */
     std::vector<std::unique_ptr<call>> ended;
     event *reaper = nullptr;
-    /** Connections that wait for their next call. */
-    std::vector<evhttp_connection *> idle;
+    std::vector<bufferevent *> idle;
 
     ~state()
     {
         calls.clear();
         ended.clear();
         for (auto *connection : idle) {
-            evhttp_connection_free(connection);
+            bufferevent_free(connection);
         }
         event_free(reaper);
     }
 
-    void retire(attempt_id attempt);
-    void keep(call &done);
-    evhttp_connection *takeConnection();
+    [[nodiscard]] std::uint64_t bodyLimit() const
+    {
+        return settings.maxBodyBytes > 0 ? settings.maxBodyBytes : std::numeric_limits<std::uint64_t>::max();
+    }
+
+    void begin(call &running, const service_call &what);
+    [[nodiscard]] bufferevent *takeConnection();
+    [[nodiscard]] bool connect(bufferevent *connection) const;
+    void watch(call &running) const;
     void restartTimer(call &running) const;
-    void fail(call &running);
+    void read(call &running);
+    void startAnswer(call &running);
+    void onEvent(call &running, short events);
     void onTimeout(call &running);
-    void begin(call &running, const service_call &what, evhttp_cmd_type command);
-
-    static int onHeaders(evhttp_request *request, void *context);
-    static void onChunk(evhttp_request *request, void *context);
-    static void onComplete(evhttp_request *request, void *context);
+    void finish(call &running);
+    void fail(call &running);
+    void keep(call &done);
+    void drop(bufferevent *unused);
+    void retire(attempt_id attempt);
 };
 
 void http_client::state::retire(attempt_id attempt)
@@ -129,7 +126,13 @@
     if (found == calls.end()) {
         return;
     }
-    evtimer_del(found->second->progressTimer);
+    auto &done = *found->second;
+    done.hasEnded = true;
+    evtimer_del(done.timer);
+    if (done.connection != nullptr) {
+        bufferevent_setcb(done.connection, nullptr, nullptr, nullptr, nullptr);
+        bufferevent_disable(done.connection, EV_READ | EV_WRITE);
+    }
     ended.push_back(std::move(found->second));
     calls.erase(found);
     event_active(reaper, EV_TIMEOUT, 0);
@@ -137,49 +140,97 @@
 
 void http_client::state::keep(call &done)
 {
-    constexpr std::size_t maxIdle = 4;
-    if (!settings.keepAlive || idle.size() >= maxIdle) {
+    const bool isUnused = evbuffer_get_length(bufferevent_get_input(done.connection)) == 0
+        && evbuffer_get_length(bufferevent_get_output(done.connection)) == 0 && !done.isCut;
+    if (!settings.keepAlive || !isUnused || !done.reader.keepsAlive() || idle.size() >= maxIdle) {
         return;
     }
-    evbuffer_remove_cb_entry(bufferevent_get_output(evhttp_connection_get_bufferevent(done.connection)),
-                             done.sentWatch);
-    idle.push_back(std::exchange(done.connection, nullptr));
+    auto *connection = std::exchange(done.connection, nullptr);
+    // Whatever happens to it before its next call, it is of no use any more.
+    bufferevent_setcb(
+        connection, [](bufferevent *unused, void *context) { static_cast<state *>(context)->drop(unused); }, nullptr,
+        [](bufferevent *unused, short, void *context) { static_cast<state *>(context)->drop(unused); }, this);
+    idle.push_back(connection);
 }
 
-evhttp_connection *http_client::state::takeConnection()
+void http_client::state::drop(bufferevent *unused)
 {
-    if (!idle.empty()) {
+    std::erase(idle, unused);
+    bufferevent_free(unused);
+}
+
+bufferevent *http_client::state::takeConnection()
+{
+    while (!idle.empty()) {
         auto *connection = idle.back();
         idle.pop_back();
-        return connection;
+        if (!isSpoiled(connection)) {
+            return connection;
+        }
+        bufferevent_free(connection);
+    }
+    auto *connection = bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE);
+    if (connection != nullptr && !connect(connection)) {
+        bufferevent_free(connection);
+        return nullptr;
     }
-    auto *connection = evhttp_connection_base_new(loop, nullptr, ip.c_str(), port);
-    evhttp_connection_set_retries(connection, 0);
     return connection;
 }
 
+bool http_client::state::connect(bufferevent *connection) const
+{
+    return socketAddress
+        && bufferevent_socket_connect(connection, reinterpret_cast<const sockaddr *>(&*socketAddress),
+                                      socketAddressBytes)
+        == 0;
+}
+
+void http_client::state::watch(call &running) const
+{
+    bufferevent_setcb(
+        running.connection,
+        [](bufferevent *, void *context) {
+            auto &reading = *static_cast<call *>(context);
+            reading.client->read(reading);
+        },
+        nullptr,
+        [](bufferevent *, short events, void *context) {
+            auto &of = *static_cast<call *>(context);
+            of.client->onEvent(of, events);
+        },
+        &running);
+}
+
 void http_client::state::restartTimer(call &running) const
 {
-    const bool isConnecting = !running.sentBytes && settings.connectTimeout > duration {};
+    const bool isConnecting = !running.isSent() && settings.connectTimeout > duration {};
     const duration answerLimit = running.started ? settings.progressTimeout : settings.firstByteTimeout;
     const duration limit = isConnecting ? settings.connectTimeout : answerLimit;
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(limit).count();
     const timeval timeout { micros / 1'000'000, static_cast<suseconds_t>(micros % 1'000'000) };
-    evtimer_add(running.progressTimer, &timeout);
+    evtimer_add(running.timer, &timeout);
 }
 
 void http_client::state::fail(call &running)
 {
     const attempt_id attempt = running.attempt;
-    const bool notSent = !running.sentBytes;
+    const bool notSent = !running.isSent();
     retire(attempt);
     handler->onFailure(attempt, notSent);
 }
 
+void http_client::state::finish(call &running)
+{
+    const attempt_id attempt = running.attempt;
+    keep(running);
+    retire(attempt);
+    handler->onAnswerEnd(attempt);
+}
+
 void http_client::state::onTimeout(call &running)
 {
     // The timer of the connection ran while the call was sent; from then on the answer has its own limit.
-    if (settings.connectTimeout > duration {} && running.sentBytes && !running.timesAnswer) {
+    if (settings.connectTimeout > duration {} && running.isSent() && !running.timesAnswer) {
         running.timesAnswer = true;
         restartTimer(running);
         return;
@@ -187,50 +238,88 @@
     fail(running);
 }
 
-int http_client::state::onHeaders(evhttp_request *request, void *context)
+void http_client::state::read(call &running)
+{
+    if (!running.isSent()) {
+        // Bytes from before the call cannot be its answer.
+        fail(running);
+        return;
+    }
+    bool progressed = false;
+    while (!running.hasEnded) {
+        switch (running.reader.read(bufferevent_get_input(running.connection))) {
+        case response_part::incomplete:
+            return;
+        case response_part::head:
+            startAnswer(running);
+            break;
+        case response_part::bytes:
+            if (!std::exchange(progressed, true)) {
+                restartTimer(running);
+            }
+            handler->onBytes(running.attempt, running.reader.bytes());
+            break;
+        case response_part::end:
+            finish(running);
+            return;
+        case response_part::unusable:
+            fail(running);
+            return;
+        }
+    }
+}
+
+void http_client::state::startAnswer(call &running)
 {
-    auto &running = *static_cast<call *>(context);
-    const int status = evhttp_request_get_response_code(request);
-    http_headers headers = headersOf(request);
     running.started = true;
     running.timesAnswer = true;
-    running.endMarked = running.client->settings.endOfConnectionIsEnd || endIsMarked(status, headers, running.isHead);
-    running.client->restartTimer(running);
-    std::erase_if(headers, [](const auto &header) { return isConnectionHeader(header.first); });
-    running.client->handler->onAnswerStart(running.attempt, status, headers);
-    return 0;
+    restartTimer(running);
+    handler->onAnswerStart(running.attempt, running.reader.status(),
+                           withoutConnectionHeaders(running.reader.headers()));
 }
 
-void http_client::state::onChunk(evhttp_request *request, void *context)
+void http_client::state::onEvent(call &running, short events)
 {
-    auto &running = *static_cast<call *>(context);
-    state &client = *running.client;
-    if (!client.calls.contains(running.attempt)) {
+    if ((events & BEV_EVENT_CONNECTED) != 0) {
+        bufferevent_enable(running.connection, EV_READ);
+        return;
+    }
+    if ((events & BEV_EVENT_WRITING) != 0 && running.isSent()) {
+        // The target may have answered before it had read the whole call.
+        running.isCut = true;
+        return;
+    }
+    const bool isEnd = (events & BEV_EVENT_EOF) != 0 && !running.isCut && settings.endOfConnectionIsEnd;
+    if (isEnd && running.reader.endsWithConnection()) {
+        finish(running);
         return;
     }
-    evbuffer *input = evhttp_request_get_input_buffer(request);
-    std::string bytes(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, bytes.data(), bytes.size());
-    client.restartTimer(running);
-    client.handler->onBytes(running.attempt, bytes);
+    fail(running);
 }
 
-void http_client::state::onComplete(evhttp_request *request, void *context)
+void http_client::state::begin(call &running, const service_call &what)
 {
-    auto &running = *static_cast<call *>(context);
-    state &client = *running.client;
-    if (!client.calls.contains(running.attempt)) {
-        return;
-    }
-    const bool answered = request != nullptr && evhttp_request_get_response_code(request) != 0;
-    if (!answered || !running.started || !running.endMarked) {
-        client.fail(running);
+    running.timer = evtimer_new(
+        loop,
+        [](evutil_socket_t, short, void *context) {
+            auto &of = *static_cast<call *>(context);
+            of.client->onTimeout(of);
+        },
+        &running);
+    const auto head = requestHead(what, address, settings);
+    running.connection = head ? takeConnection() : nullptr;
+    if (running.connection == nullptr) {
+        // Fails from the loop, so that a handler is never called inside `start`.
+        const timeval now { 0, 0 };
+        evtimer_add(running.timer, &now);
         return;
     }
-    const attempt_id attempt = running.attempt;
-    client.keep(running);
-    client.retire(attempt);
-    client.handler->onAnswerEnd(attempt);
+    watch(running);
+    running.requestBytes = head->size() + what.body.size();
+    evbuffer *output = bufferevent_get_output(running.connection);
+    evbuffer_add(output, head->data(), head->size());
+    evbuffer_add(output, what.body.data(), what.body.size());
+    restartTimer(running);
 }
 
 http_client::http_client(event_base *loop, std::string ip, std::uint16_t port, http_client_settings settings,
@@ -238,10 +327,15 @@
     : m_state(std::make_unique<state>())
 {
     m_state->loop = loop;
-    m_state->ip = std::move(ip);
-    m_state->port = port;
+    m_state->address = ip + ":" + std::to_string(port);
     m_state->settings = settings;
     m_state->handler = &handler;
+    sockaddr_storage parsed {};
+    int bytes = sizeof(parsed);
+    if (evutil_parse_sockaddr_port(m_state->address.c_str(), reinterpret_cast<sockaddr *>(&parsed), &bytes) == 0) {
+        m_state->socketAddress = parsed;
+        m_state->socketAddressBytes = bytes;
+    }
     m_state->reaper = event_new(
         loop, -1, 0, [](evutil_socket_t, short, void *context) { static_cast<state *>(context)->ended.clear(); },
         m_state.get());
@@ -249,61 +343,12 @@
 
 http_client::~http_client() = default;
 
-void http_client::state::begin(call &running, const service_call &what, evhttp_cmd_type command)
-{
-    running.connection = takeConnection();
-    running.progressTimer = evtimer_new(
-        loop,
-        [](evutil_socket_t, short, void *context) {
-            static_cast<call *>(context)->client->onTimeout(*static_cast<call *>(context));
-        },
-        &running);
-    running.isHead = command == EVHTTP_REQ_HEAD;
-    running.sentWatch = evbuffer_add_cb(
-        bufferevent_get_output(evhttp_connection_get_bufferevent(running.connection)),
-        [](evbuffer *, const evbuffer_cb_info *info, void *context) {
-            static_cast<call *>(context)->sentBytes |= info->n_deleted > 0;
-        },
-        &running);
-    evhttp_request *request = evhttp_request_new(onComplete, &running);
-    evhttp_request_set_header_cb(request, onHeaders);
-    evhttp_request_set_chunked_cb(request, onChunk);
-    evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    for (const auto &[name, value] : what.headers) {
-        if (!isConnectionHeader(name)) {
-            evhttp_add_header(headers, name.c_str(), value.c_str());
-        }
-    }
-    const std::string_view host = settings.keepHost ? findHeader(what.headers, "Host") : std::string_view();
-    const std::string address = ip + ":" + std::to_string(port);
-    evhttp_add_header(headers, "Host", host.empty() ? address.c_str() : host.data());
-    evhttp_add_header(headers, "Connection", settings.keepAlive ? "keep-alive" : "close");
-    if (!what.body.empty()) {
-        // evhttp sets a length for POST and PUT only; without one the target takes the body for the next request.
-        evhttp_add_header(headers, "Content-Length", std::to_string(what.body.size()).c_str());
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(request), what.body.data(), what.body.size());
-    restartTimer(running);
-    if (evhttp_make_request(running.connection, request, command, what.path.c_str()) != 0) {
-        // Fails from the loop, so that a handler is never called inside `start`.
-        const timeval now { 0, 0 };
-        evtimer_add(running.progressTimer, &now);
-    }
-}
-
 void http_client::start(attempt_id attempt, const service_call &what)
 {
-    const auto command = commandOf(what.method);
-    if (!command) {
-        m_state->handler->onFailure(attempt, true);
-        return;
-    }
-    auto owned = std::make_unique<state::call>();
+    auto owned = std::make_unique<state::call>(*m_state, attempt, what);
     auto &running = *owned;
-    running.client = m_state.get();
-    running.attempt = attempt;
     m_state->calls.emplace(attempt, std::move(owned));
-    m_state->begin(running, what, *command);
+    m_state->begin(running, what);
 }
 
 void http_client::cancel(attempt_id attempt)
--- a/test/endless-answer-test.cc
+++ b/test/endless-answer-test.cc
@@ -40,6 +40,7 @@
 std::vector<endless_answer> endlessFrames()
 {
     return { { "header lines", "HTTP/1.1 200 OK\r\n", "X-Trace: 0123456789abcdef\r\n" },
+             { "short header lines", "HTTP/1.1 200 OK\r\n", "a:b\r\n" },
              { "100 Continue", "", "HTTP/1.1 100 Continue\r\n\r\n" },
              { "102 Processing", "", "HTTP/1.1 102 Processing\r\nX-Step: 1\r\n\r\n" },
              { "one header line", "HTTP/1.1 200 OK\r\nX-Trace: ", "0123456789abcdef" },
--- a/test/wire-harness.h
+++ b/test/wire-harness.h
@@ -101,6 +101,13 @@
         ::shutdown(m_descriptor, SHUT_WR);
     }
 
+    /** The other side reads a reset when this one is destroyed. */
+    void resetOnClose() const
+    {
+        const linger reset { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+
     /** Everything received so far. */
     const std::string &received()
     {
