--- a/test/soak.py
+++ b/test/soak.py
@@ -12,6 +12,7 @@
 import json
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import subprocess
@@ -46,7 +47,8 @@
         self.nodes = self.cores | self.fronts
         self.processes, self.sent, self.runs, self.ended, self.violations, self.faults = {}, {}, {}, [], [], []
         self.acknowledged = self.versions = self.front_bytes = 0
-        self.targets, self.troubles = [], troubles or ("extra", "early", *TROUBLES)
+        # Given troubles are the only faults.
+        self.targets, self.troubles = [], troubles
         self.calm = False
         # Sanitizers keep freed memory, so that the limit holds for usual builds only.
         self.limits_memory = b"__asan_init" not in (self.build / "figcleat-node").read_bytes()
@@ -76,7 +78,7 @@
         role = "front" if name.startswith("front") else "coordinator"
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen([self.build / "figcleat-node", role, "--settings", path],
-                                                    stdout=log, stderr=log)
+                                                    stdout=log, stderr=log, cwd=self.folder)
 
     async def stop(self, name):
         process = self.processes[name]
@@ -117,7 +119,9 @@
     async def control(self, client, method, path, body=""):
         """Answer to a call to some coordinator, which may name another one; None if there is none."""
         ip = self.random.choice(tuple(self.cores.values()))
-        data = (head_of(f"{method} {path} HTTP/1.1", {"Host": HOST, "Content-Length": len(body)}) + body).encode()
+        blank = "\r\n" * client.random.choice((0, 0, 0, 1))
+        head = head_of(f"{method} {path} HTTP/1.1", {"Host": HOST, "Content-Length": len(body)})
+        data = (blank + head + body).encode()
         for _ in range(3):
             answers = await client.talk((ip, self.base_port + 3), [data], timeout=1.0)
             if not answers:
@@ -219,11 +223,21 @@
         target.mode = "pass"
 
     async def trouble(self, target):
-        target.trouble = self.random.choice(self.troubles)
+        target.trouble = self.random.choice(("extra", "early", *TROUBLES))
         self.note(f"{target.trouble} {target.name}")
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
         target.trouble = ""
 
+    async def press(self):
+        """Each of the given troubles at all targets at once."""
+        for trouble in self.troubles:
+            self.note(f"{trouble} everywhere")
+            for target in self.targets:
+                target.trouble = trouble
+            await asyncio.sleep(FAULT_SECONDS / len(self.troubles))
+        for target in self.targets:
+            target.trouble = ""
+
     async def strike_targets(self):
         end = time.monotonic() + FAULT_SECONDS
         while time.monotonic() < end:
@@ -272,12 +286,17 @@
         # One core process at a time, so that the log keeps its quorum; most fronts are left to callers.
         struck = [self.random.choice(tuple(self.cores)),
                   *self.random.sample(tuple(self.fronts), max(1, len(self.fronts) // 4))]
-        faults = [asyncio.create_task(self.strike(name)) for name in struck]
-        faults += [asyncio.create_task(self.strike_targets()) for _ in range(2)]
+        if self.troubles:
+            faults = [asyncio.create_task(self.press())]
+        else:
+            faults = [asyncio.create_task(self.strike(name)) for name in struck]
+            faults += [asyncio.create_task(self.strike_targets()) for _ in range(2)]
         end = time.monotonic() + FAULT_SECONDS
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.1, 1.5))
             await self.configure()
+            # No target is there, so that callers see no difference.
+            await self.control(self.client, self.random.choice(("POST", "DELETE")), f"/-/drain/{ZONES[1]}")
         await asyncio.gather(*faults)
         await asyncio.sleep(CALM_SECONDS / 2)
         self.calm = True
@@ -289,6 +308,8 @@
             if isinstance(one, Exception):
                 raise one
         await asyncio.gather(*(self.stop(name) for name in self.nodes))
+        for client in (self.client, *(target.client for target in self.targets)):
+            client.close()
         self.check_runs()
         self.check_logs()
         if not self.violations:
@@ -336,6 +357,9 @@
 
 def run(build, seed, base_port, size=None, troubles=None):
     """Violations and a summary of one run."""
+    # A process that crashes leaves its memory in the folder of the logs.
+    hard = resource.getrlimit(resource.RLIMIT_CORE)[1]
+    resource.setrlimit(resource.RLIMIT_CORE, (hard, hard))
     world = World(build, seed, base_port, size, troubles)
     try:
         asyncio.run(world.run())
