Log why the targets of a service have no room

Callers of a deployment with 72 targets got target_at_limit at once while fronts logged only the busiest target and the level. From these it cannot be told whether the targets were at the level or reading a prompt, nor which target was the busiest.

event=load gives the targets in use, the requests at them, the busiest target, and how many targets are below the level, read as many prompts as they may, and would get one more stream. The last three are metrics as well.

No decision changes.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -220,6 +220,7 @@
     /** Most requests at one target. */
     double busiest = 0;
     std::uint32_t slots = 0;
+    load_spread spread {};
     /** Pauses in streams as a part of the longest allowed one. */
     double pause = 0;
     std::size_t waiting = 0;
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -56,6 +56,23 @@
     bool readsPrompt = false;
 };
 
+/** Load of the targets of a service that are in use, as this node sees it. */
+struct load_spread
+{
+    std::size_t targets = 0;
+    /** Requests at all of them. */
+    double requests = 0;
+    double most = 0;
+    /** The target with most requests. */
+    target_id busiest;
+    /** Targets with fewer requests than the level. */
+    std::size_t belowLevel = 0;
+    /** Targets that read as many prompts as they may. */
+    std::size_t reading = 0;
+    /** Targets that would get one more stream. */
+    std::size_t withRoom = 0;
+};
+
 /**
  * Chooses targets and bounds what this node sends to each.
  *
@@ -114,6 +131,7 @@
     [[nodiscard]] target_load totalLoad(const service_id &service, time_point now) const;
     /** Most requests at one target of the service, and the slots of one. */
     [[nodiscard]] std::pair<double, std::uint32_t> busiest(const service_id &service, time_point now) const;
+    [[nodiscard]] load_spread spread(const service_id &service, const choice_limits &limits, time_point now) const;
     void forgetUnknown();
 
 private:
@@ -154,6 +172,10 @@
     [[nodiscard]] double load(const target_record &record, time_point now) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
+    /** As many prompts are read at the target as may be. */
+    [[nodiscard]] bool isReading(const target_record &record) const;
+    [[nodiscard]] bool isBelowLevel(const directory_entry &entry, const target_record &record,
+                                    const choice_limits &limits, time_point now) const;
     [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
     /** A cold target bears a bounded rate of requests; refills the tokens of this node's share. */
     [[nodiscard]] bool hasColdToken(const directory_entry &entry, target_record &record, time_point now) const;
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -64,6 +64,12 @@
                static_cast<double>(load.waiting));
     page.gauge("figcleat_target_level", "Requests that may be at one target.", service, load.level);
     page.gauge("figcleat_target_busiest", "Most requests at one target.", service, load.busiest);
+    page.gauge("figcleat_targets_below_level", "Targets in use with fewer requests than the level.", service,
+               static_cast<double>(load.spread.belowLevel));
+    page.gauge("figcleat_targets_reading", "Targets in use that read as many prompts as they may.", service,
+               static_cast<double>(load.spread.reading));
+    page.gauge("figcleat_targets_with_room", "Targets in use that would get one more stream.", service,
+               static_cast<double>(load.spread.withRoom));
     page.gauge("figcleat_stream_pause_share", "Pauses in streams as a part of the longest allowed one.", service,
                load.pause);
     page.counter("figcleat_repeats_total", "Attempts that drew on the shared budget of repeats.", service,
@@ -273,8 +279,11 @@
             // Only services that answer with streams have a level that changes.
             continue;
         }
-        logger()->info("event=load service={} level={:.1f} busiest={:.1f} slots={} pause={:.2f} waiting={}",
-                       one.service.value, one.level, one.busiest, one.slots, one.pause, one.waiting);
+        logger()->info("event=load service={} level={:.1f} busiest={:.1f} slots={} pause={:.2f} waiting={} targets={} "
+                       "requests={:.0f} target={} below_level={} reading={} with_room={}",
+                       one.service.value, one.level, one.busiest, one.slots, one.pause, one.waiting, one.spread.targets,
+                       one.spread.requests, one.spread.busiest.value, one.spread.belowLevel, one.spread.reading,
+                       one.spread.withRoom);
     }
     const bool hears = m_links.heardWithin(coordinatorSilence, now) > 0;
     if (hears != m_heardCoordinator) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -256,6 +256,7 @@
             one.level = pace->second.level();
             one.pause = pace->second.lastPause();
         }
+        one.spread = m_pool.spread(service, { one.level, true }, now);
         one.waiting = waiting[service];
         const auto repeats = m_repeats.find(service);
         one.repeats = repeats == m_repeats.end() ? 0 : repeats->second;
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -119,9 +119,17 @@
             return false;
         }
     }
-    if (limits.readsPrompt && record.prompts + record.peerPrompts >= m_settings.promptsPerTarget) {
-        return false;
-    }
+    return !(limits.readsPrompt && isReading(record)) && isBelowLevel(entry, record, limits, now);
+}
+
+bool target_pool::isReading(const target_record &record) const
+{
+    return record.prompts + record.peerPrompts >= m_settings.promptsPerTarget;
+}
+
+bool target_pool::isBelowLevel(const directory_entry &entry, const target_record &record, const choice_limits &limits,
+                               time_point now) const
+{
     const double most = limits.level > 0 ? limits.level : entry.what.slots + m_settings.waitingPerTarget;
     return load(record, now) + 1 <= most;
 }
@@ -344,6 +352,31 @@
     return most;
 }
 
+load_spread target_pool::spread(const service_id &service, const choice_limits &limits, time_point now) const
+{
+    load_spread seen;
+    const target_record unused;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        const auto found = m_records.find(id);
+        const auto &record = found == m_records.end() ? unused : found->second;
+        if (entry.what.service != service || !isOpen(entry) || record.blockedUntil > now
+            || (knowsEngines(now) && record.isBroken)) {
+            continue;
+        }
+        const double requests = load(record, now);
+        ++seen.targets;
+        seen.requests += requests;
+        if (requests >= seen.most) {
+            seen.most = requests;
+            seen.busiest = id;
+        }
+        seen.belowLevel += isBelowLevel(entry, record, limits, now) ? 1 : 0;
+        seen.reading += isReading(record) ? 1 : 0;
+        seen.withRoom += hasRoom(entry, record, limits, now) ? 1 : 0;
+    }
+    return seen;
+}
+
 void target_pool::forgetUnknown()
 {
     std::erase_if(m_records, [this](const auto &entry) {
