--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -287,8 +287,6 @@
         workspace_id workspace;
         std::uint32_t priority = 0;
         time_point arrived {};
-        /** Random number that decides which places the request may take. */
-        std::uint64_t seed = 0;
         /** The caller gets its final answer by then. */
         time_point deadline {};
         /** Latest time to wait for room at a target. */
@@ -313,16 +311,6 @@
         event_splitter events;
     };
 
-    /** Smoothed rate of requests, a second, as of the latest one. */
-    struct request_rate
-    {
-        double perSecond = 0;
-        time_point at {};
-    };
-
-    static double perSecond(const request_rate &rate, time_point now);
-    static void count(request_rate &rate, time_point now);
-
     void handle(const request_arrived &event);
     void handle(const caller_left &event);
     void handle(const answer_started &event);
@@ -344,13 +332,6 @@
     /** More requests wait than can be placed before they have waited too long. */
     [[nodiscard]] bool isQueueFull(const request_state &state) const;
     void noteStart(const service_id &service);
-    void noteArrival(const service_id &service);
-    /** Smooths the number of requests that wait. */
-    void noteWaiting();
-    /** Requests of all nodes for the service within the time after which they hear of each other. */
-    [[nodiscard]] double competing(const service_id &service) const;
-    /** Uniform in [0, 1) and the same for one request while nodes do not hear of each other. */
-    [[nodiscard]] double drawFor(const request_state &state) const;
     void pace();
     [[nodiscard]] choice_limits limitsFor(const request_state &state) const;
     [[nodiscard]] bool mayRunAgain(const request_state &state) const;
@@ -377,16 +358,13 @@
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
-    /** Attempts started. */
-    std::map<service_id, request_rate> m_starts;
-    /** Requests that arrive, and the smoothed number of those that wait. */
-    struct service_demand
+    /** Smoothed rate of attempts started, a second. */
+    struct start_rate
     {
-        request_rate arrivals;
-        double waiting = 0;
+        double perSecond = 0;
+        time_point at {};
     };
-    std::map<service_id, service_demand> m_demand;
-    time_point m_waitingNoted {};
+    std::map<service_id, start_rate> m_starts;
     std::map<service_id, request::retry_budget> m_budgets;
     std::map<service_id, std::uint64_t> m_repeats;
     /** Of services that answer with streams. */
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -54,13 +54,6 @@
     double level = 0;
     /** The request has a prompt, and streams in progress wait while it is read. */
     bool readsPrompt = false;
-    /**
-     * Requests of all nodes that are likely to look for a target before this node hears of them. Counts only while the
-     * loads of other nodes are seen with a delay.
-     */
-    double competing = 0;
-    /** Uniform in [0, 1): what the request drew for its share of the free places. */
-    double draw = 0;
 };
 
 /** Load of the targets of a service that are in use, as this node sees it. */
@@ -171,12 +164,8 @@
     {
         const directory_entry *entry = nullptr;
         double score = 0;
-        /** Requests that the target has room for. */
-        double room = 0;
     };
 
-    /** Any of the candidates, by their room. */
-    [[nodiscard]] const directory_entry *pickByRoom(const std::vector<candidate> &candidates);
     /** One of the candidates with the lowest scores. */
     [[nodiscard]] const directory_entry *pick(std::vector<candidate> &candidates);
     [[nodiscard]] bool knowsEngines(time_point now) const;
@@ -187,12 +176,6 @@
     [[nodiscard]] bool isReading(const target_record &record) const;
     [[nodiscard]] bool isBelowLevel(const directory_entry &entry, const target_record &record,
                                     const choice_limits &limits, time_point now) const;
-    /**
-     * Requests up to the level; at least 1 if `hasRoom`. A prompt that is being read does not count: it is soon read,
-     * and two at once do less harm than requests that wait elsewhere.
-     */
-    [[nodiscard]] double roomAt(const directory_entry &entry, const target_record &record, const choice_limits &limits,
-                                time_point now) const;
     [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
     /** A cold target bears a bounded rate of requests; refills the tokens of this node's share. */
     [[nodiscard]] bool hasColdToken(const directory_entry &entry, target_record &record, time_point now) const;
@@ -207,7 +190,6 @@
     std::unordered_map<target_id, target_record> m_records;
     std::mt19937_64 m_random;
     bool m_hasPeers = false;
-    bool m_isDelayed = false;
     /** Differences of load, in requests, that do not decide between targets. */
     double m_tolerance = 0;
 };
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -37,23 +37,9 @@
 constexpr double rateSeconds = 1.0;
 /** This many requests may wait in any case, so that a quiet node has a queue. */
 constexpr double minWaiting = 1;
-/** Many nodes hear of each other's requests after about this time, by way of relays. */
-constexpr duration hearingPeriod = std::chrono::milliseconds(75);
 
 } // namespace
 
-double forwarder::perSecond(const request_rate &rate, time_point now)
-{
-    const double age = std::chrono::duration<double>(now - rate.at).count() / rateSeconds;
-    return rate.perSecond * std::exp(-std::max(0.0, age));
-}
-
-void forwarder::count(request_rate &rate, time_point now)
-{
-    rate.perSecond = perSecond(rate, now) + 1 / rateSeconds;
-    rate.at = now;
-}
-
 forwarder::forwarder(forwarder_settings settings)
     : m_settings(std::move(settings))
     , m_pool(m_settings.pool)
@@ -109,7 +95,6 @@
     auto &state = m_requests[event.exchange];
     state.request = std::make_shared<const caller_request>(event.request);
     state.arrived = m_now;
-    state.seed = m_random();
     if (const auto refused = admit(state, event.request); refused) {
         refuse(event.exchange, state, *refused);
         return;
@@ -123,7 +108,6 @@
                                         m_settings.repeatWindow })
                        .first->second;
     budget.firstAttempt(m_now);
-    noteArrival(state.service);
     place(event.exchange, state);
 }
 
@@ -228,44 +212,10 @@
 
 void forwarder::noteStart(const service_id &service)
 {
-    count(m_starts[service], m_now);
-}
-
-void forwarder::noteArrival(const service_id &service)
-{
-    count(m_demand[service].arrivals, m_now);
-}
-
-void forwarder::noteWaiting()
-{
-    const double weight = std::min(1.0, std::chrono::duration<double>(m_now - m_waitingNoted).count() / rateSeconds);
-    m_waitingNoted = m_now;
-    std::map<service_id, double> waiting;
-    for (const auto exchange : m_waiting) {
-        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
-            waiting[found->second.service] += 1;
-        }
-    }
-    for (auto &[service, demand] : m_demand) {
-        demand.waiting += weight * (waiting[service] - demand.waiting);
-    }
-}
-
-double forwarder::competing(const service_id &service) const
-{
-    const auto found = m_demand.find(service);
-    if (found == m_demand.end()) {
-        return 0;
-    }
-    const auto &[arrivals, waiting] = found->second;
-    return m_nodes * (perSecond(arrivals, m_now) * std::chrono::duration<double>(hearingPeriod).count() + waiting);
-}
-
-double forwarder::drawFor(const request_state &state) const
-{
-    const auto period = static_cast<std::uint64_t>((m_now - state.arrived) / hearingPeriod);
-    std::mt19937_64 random(state.seed + period);
-    return std::uniform_real_distribution<double>(0, 1)(random);
+    auto &rate = m_starts[service];
+    const double age = std::chrono::duration<double>(m_now - rate.at).count() / rateSeconds;
+    rate.perSecond = rate.perSecond * std::exp(-std::max(0.0, age)) + 1 / rateSeconds;
+    rate.at = m_now;
 }
 
 bool forwarder::isQueueFull(const request_state &state) const
@@ -287,10 +237,7 @@
         return {};
     }
     const auto pace = m_paces.find(state.service);
-    return { .level = pace == m_paces.end() ? 0 : pace->second.level(),
-             .readsPrompt = true,
-             .competing = competing(state.service),
-             .draw = drawFor(state) };
+    return { pace == m_paces.end() ? 0 : pace->second.level(), true };
 }
 
 std::vector<service_load> forwarder::loadSummary(time_point now) const
@@ -548,7 +495,6 @@
 void forwarder::handle(const forward_tick & /*event*/)
 {
     pace();
-    noteWaiting();
     placeWaiting();
     std::vector<exchange_id> open;
     open.reserve(m_requests.size());
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace figcleat::forward
 {
@@ -30,11 +29,6 @@
  * ms a target gets 0.3 requests in the largest deployment that was measured.
  */
 constexpr double delayedTolerance = 1.0;
-/**
- * Nodes that see the same free places with a delay take this part of them before they hear of each other. Each decides
- * by itself, so that some places are taken twice.
- */
-constexpr double takenShare = 0.5;
 /** What was said of engines is out of date after this time. */
 constexpr duration engineSilence = std::chrono::seconds(2);
 /** The ranks of a group advance together, so a request at a target of this pace delays the streams of all others. */
@@ -140,13 +134,6 @@
     return load(record, now) + 1 <= most;
 }
 
-double target_pool::roomAt(const directory_entry &entry, const target_record &record, const choice_limits &limits,
-                           time_point now) const
-{
-    const double most = limits.level > 0 ? limits.level : entry.what.slots + m_settings.waitingPerTarget;
-    return std::max(1.0, std::floor(most - load(record, now)));
-}
-
 double target_pool::score(const directory_entry &entry, const target_record &record, time_point now) const
 {
     const double slots = std::max<std::uint32_t>(1, entry.what.slots);
@@ -191,31 +178,13 @@
         }
         anyUsable = true;
         if (hasRoom(entry, record, limits, now) && hasColdToken(entry, record, now)) {
-            candidates.push_back({ &entry, score(entry, record, now), roomAt(entry, record, limits, now) });
+            candidates.push_back({ &entry, score(entry, record, now) });
         }
     }
     if (candidates.empty()) {
         return fail(anyUsable ? result_code::target_at_limit : result_code::no_target, service.value);
     }
-    const double room = std::accumulate(candidates.begin(), candidates.end(), 0.0,
-                                        [](double sum, const auto &one) { return sum + one.room; });
-    if (!m_isDelayed || limits.competing <= takenShare * room) {
-        return *pick(candidates);
-    }
-    if (limits.draw * limits.competing >= takenShare * room) {
-        return fail(result_code::target_at_limit, service.value);
-    }
-    return *pickByRoom(candidates);
-}
-
-const directory_entry *target_pool::pickByRoom(const std::vector<candidate> &candidates)
-{
-    std::vector<double> rooms;
-    rooms.reserve(candidates.size());
-    for (const auto &one : candidates) {
-        rooms.push_back(one.room);
-    }
-    return candidates[std::discrete_distribution<std::size_t>(rooms.begin(), rooms.end())(m_random)].entry;
+    return *pick(candidates);
 }
 
 const directory_entry *target_pool::pick(std::vector<candidate> &candidates)
@@ -245,7 +214,6 @@
 void target_pool::setOthers(const std::optional<std::vector<target_use>> &uses, bool isDelayed)
 {
     m_hasPeers = uses.has_value();
-    m_isDelayed = uses.has_value() && isDelayed;
     m_tolerance = isDelayed ? delayedTolerance : 0;
     for (auto &[id, record] : m_records) {
         record.peerRequests = 0;
