Tell a single long pause from passes that are always too long

Whether no level helps is now judged by the median of the recent pauses of each stream; cuts and raises go by the longest.

--- a/include/figcleat/forward/pace-controller.h
+++ b/include/figcleat/forward/pace-controller.h
@@ -9,20 +9,20 @@
 namespace figcleat::forward
 {
 
-/** The longest of the most recent pauses of one stream. */
+/** The most recent pauses of one stream. */
 class recent_pauses
 {
 public:
-    /** Adds a pause and returns the longest one. */
-    duration add(duration pause);
+    void add(duration pause);
+    [[nodiscard]] duration longest() const;
+    [[nodiscard]] duration median() const;
 
 private:
-    /** Passes of an engine and events of a stream that differ in size by one token in six coincide once in six events.
-     */
+    /** About the length of a switch of maps and the passes before it, and a third of a usual stream. */
     static constexpr std::size_t judgedEvents = 8;
 
     std::array<duration, judgedEvents> m_pauses {};
-    std::size_t m_next = 0;
+    std::size_t m_count = 0;
 };
 
 /**
@@ -34,8 +34,11 @@
 class pace_controller
 {
 public:
-    /** The longest recent pause of a stream, with each of its events; `limit` is the longest that is still in time. */
+    /** A pause between two events of one stream, if it is the only one known; `limit` is the longest that is in time.
+     */
     void onPause(duration pause, duration limit, time_point now);
+    /** The pauses of one stream after each of its events; not empty. */
+    void onPauses(const recent_pauses &pauses, duration limit);
     /** To be called on a period; `busiest` is the highest number of requests at one target. */
     void tick(std::uint32_t slots, double busiest, time_point now);
 
@@ -50,8 +53,9 @@
     /** Until then no level keeps the pauses below their limit, and all slots are used. */
     time_point m_fullUntil {};
     std::uint32_t m_slots = 0;
-    /** Longest pauses of streams, as heard since the last tick, as parts of their limits. */
-    std::vector<double> m_pauses;
+    /** Medians and longest pauses of streams since the last tick, as parts of their limits. */
+    std::vector<double> m_medians;
+    std::vector<double> m_longest;
     time_point m_lastCut {};
     time_point m_lastTick {};
 };
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -402,7 +402,8 @@
         if (std::exchange(attempt.readsPrompt, false)) {
             m_pool.onPromptRead(attempt.target);
         } else {
-            pace.onPause(attempt.pauses.add(pause), state.where->maxGap, m_now);
+            attempt.pauses.add(pause);
+            pace.onPauses(attempt.pauses, state.where->maxGap);
         }
         passEvents(exchange, state, event.bytes);
         return;
