--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -272,7 +272,6 @@
         time_point startedAt {};
         time_point lastProgress {};
         std::optional<answer_head> head;
-        recent_pauses pauses;
         std::string body;
         /** The target has not sent the first event of a stream. */
         bool readsPrompt = false;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -402,8 +402,7 @@
         if (std::exchange(attempt.readsPrompt, false)) {
             m_pool.onPromptRead(attempt.target);
         } else {
-            attempt.pauses.add(pause);
-            pace.onPauses(attempt.pauses, state.where->maxGap);
+            pace.onPause(pause, state.where->maxGap, m_now);
         }
         passEvents(exchange, state, event.bytes);
         return;
