Share the comparison of header names and the half-close test

Three places compared names without regard to case, and two tests of the server repeated the same exchange.

--- a/src/http/request-head.cc
+++ b/src/http/request-head.cc
@@ -1,9 +1,10 @@
 #include "request-head.h"
 
+#include "case-insensitive.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
-#include <strings.h>
 #include <utility>
 #include <vector>
 
@@ -17,11 +18,6 @@
 constexpr std::array<std::string_view, 5> connectionHeaders { "connection", "content-length", "host",
                                                               "transfer-encoding", "expect" };
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool isConnectionHeader(std::string_view name)
 {
     return std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
--- a/src/http/request-reader.cc
+++ b/src/http/request-reader.cc
@@ -1,11 +1,12 @@
 #include "request-reader.h"
 
+#include "case-insensitive.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <event2/buffer.h>
-#include <strings.h>
 
 namespace figcleat
 {
@@ -23,11 +24,6 @@
     return { text.data(), text.size() };
 }
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 /** Callers often end a body with a line break of its own. False while half of a blank line is all there is. */
 bool skipBlankLines(evbuffer *input)
 {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "figcleat/http/server.h"
 
+#include "case-insensitive.h"
 #include "figcleat/core/log.h"
 #include "request-reader.h"
 
@@ -13,7 +14,6 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -74,9 +74,8 @@
 
 std::string_view findHeader(const http_headers &headers, std::string_view name)
 {
-    const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto &header) {
-        return header.first.size() == name.size() && strncasecmp(header.first.data(), name.data(), name.size()) == 0;
-    });
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [name](const auto &header) { return equalsIgnoringCase(header.first, name); });
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -418,7 +418,11 @@
     CHECK(findHeader(between.requests[0].headers, "Host") == "desk.example");
 }
 
-TEST_CASE("a caller that sends nothing more still reads the whole of its last answer", "[http-server]")
+namespace
+{
+
+/** The caller closes its side while its answer, too large for the buffers, is being sent. */
+void checkHalfClose(const std::string &request)
 {
     event_loop loop;
     const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
@@ -427,13 +431,20 @@
     auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
     handler.server = server.get();
     const auto caller = connectTo(port);
-    caller->write("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    caller->write(request);
     loop.runUntil([&] { return handler.answered; });
     caller->finishWriting();
     CHECK(loop.runUntil([&] { return caller->isClosed(); }));
     CHECK(caller->received().ends_with("\r\n\r\n" + body));
 }
 
+} // namespace
+
+TEST_CASE("a caller that sends nothing more still reads the whole of its last answer", "[http-server]")
+{
+    checkHalfClose("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+}
+
 TEST_CASE("fields after a body in chunks are not taken for headers of the request", "[http-server]")
 {
     relay between;
@@ -487,18 +498,7 @@
 
 TEST_CASE("a caller that sends nothing more reads the whole answer of a kept connection", "[http-server]")
 {
-    event_loop loop;
-    const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
-    large_answer handler(body);
-    const auto port = freePort();
-    auto server = *http_server::open(loop.base(), loopback, port, {}, handler);
-    handler.server = server.get();
-    const auto caller = connectTo(port);
-    caller->write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-    loop.runUntil([&] { return handler.answered; });
-    caller->finishWriting();
-    CHECK(loop.runUntil([&] { return caller->isClosed(); }));
-    CHECK(caller->received().ends_with("\r\n\r\n" + body));
+    checkHalfClose("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
 }
 
 TEST_CASE("a new caller takes the place of the connection that was unused for longest", "[http-server]")
