Never use a push socket again after its connection has ended

Cause: when a connection ends while a send on it completes, nng 1.5.2 puts it back into the push socket's list of ready connections after it has taken it out for the last time, and frees it there. The next send takes it from the list.

Ruled out: a socket that is used after nng_close (all of the mailbox runs on the loop's thread).

Change: a push socket serves one connection. nng tells of its end before it frees it and waits for the callback, which waits for a send under way; the next send opens a new socket. Messages queued in the old socket are lost, as the mailbox's contract says for the end of a connection.

--- a/src/wire/mailbox.cc
+++ b/src/wire/mailbox.cc
@@ -4,6 +4,7 @@
 #include "figcleat/wire/codec.h"
 
 #include <event2/event.h>
+#include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -27,12 +28,21 @@
     return "tcp://" + address.value;
 }
 
+/**
+ * Sends on one connection to one peer.
+ *
+ * nng 1.5.2 may keep a connection that ends during a send in the socket's list of ready ones after it has freed it, so
+ * that a later send crashes. A socket whose connection has ended is therefore never used again. nng frees a connection
+ * only once it has returned from `onConnectionEnded`, which waits for a send under way.
+ */
 class push_socket
 {
 public:
     explicit push_socket(nng_socket socket)
         : m_socket(socket)
     {
+        nng_pipe_notify(m_socket, NNG_PIPE_EV_ADD_PRE, &push_socket::onConnection, this);
+        nng_pipe_notify(m_socket, NNG_PIPE_EV_REM_POST, &push_socket::onConnectionEnded, this);
     }
     ~push_socket()
     {
@@ -40,6 +50,11 @@
     }
     push_socket(const push_socket &) = delete;
     push_socket &operator=(const push_socket &) = delete;
+    [[nodiscard]] bool hasEnded() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_hasEnded;
+    }
     [[nodiscard]] int send(std::string_view bytes) const
     {
         nng_msg *message = nullptr;
@@ -47,7 +62,8 @@
             return failed;
         }
         std::copy(bytes.begin(), bytes.end(), static_cast<char *>(nng_msg_body(message)));
-        const int failed = nng_sendmsg(m_socket, message, NNG_FLAG_NONBLOCK);
+        const std::lock_guard lock(m_mutex);
+        const int failed = m_hasEnded ? NNG_ECLOSED : nng_sendmsg(m_socket, message, NNG_FLAG_NONBLOCK);
         if (failed != 0) {
             nng_msg_free(message);
         }
@@ -55,7 +71,27 @@
     }
 
 private:
+    // Both run on threads of nng.
+    static void onConnection(nng_pipe connection, nng_pipe_ev /*event*/, void *context)
+    {
+        auto *self = static_cast<push_socket *>(context);
+        const std::lock_guard lock(self->m_mutex);
+        if (std::exchange(self->m_hasConnected, true)) {
+            // The dialer of nng connects again by itself; that connection would join the same list.
+            nng_pipe_close(connection);
+        }
+    }
+    static void onConnectionEnded(nng_pipe /*connection*/, nng_pipe_ev /*event*/, void *context)
+    {
+        auto *self = static_cast<push_socket *>(context);
+        const std::lock_guard lock(self->m_mutex);
+        self->m_hasEnded = true;
+    }
+
     nng_socket m_socket;
+    mutable std::mutex m_mutex;
+    bool m_hasConnected = false;
+    bool m_hasEnded = false;
 };
 
 expected<std::unique_ptr<push_socket>> dial(const peer_address &to)
@@ -146,6 +182,10 @@
 expected<void> mailbox::send(const peer_address &to, std::string_view bytes)
 {
     auto found = m_state->peers.find(to);
+    if (found != m_state->peers.end() && found->second->hasEnded()) {
+        m_state->peers.erase(found);
+        found = m_state->peers.end();
+    }
     if (found == m_state->peers.end()) {
         auto dialled = dial(to);
         if (!dialled) {
--- a/test/soak-process-test.py
+++ b/test/soak-process-test.py
@@ -11,6 +11,8 @@
     "a front had 160 MB and more resident while targets answered without end":
         [(3005, 5), (2013, 30), (2016, 30), (3001, 30), (3003, 30), (3010, 30), (4000, 30), (4008, 30), (4014, 30),
          (4015, 30), (4017, 30), (6100, 30), (6101, 30), (6106, 5), (6108, 30), (7103, 30)],
+    "a connection of nng was used after it had been freed, and the process ended with SIGSEGV":
+        [(8211, 30), (8312, 30)],
     "open: a front ended with SIGSEGV, once in 3 runs of the seed, during answers of 100 Continue without end":
         [(6104, 100)],
 }
