Report a shift of demand at once, and seldom while demand stays as it is

Cause: agents reported every 200 ms, whether or not there was news, with choices in every third report only. The choices of 600 ms tell of old and new demand together.

Change: an agent reads the choices of its rank every 120 ms, which costs nothing beyond its VM, and reports when they differ from what it reported last by more than chance explains, when its state changes, else every 400 ms. After a shift it leaves the choices from before out. A rank that loads or is armed reports once, when it is done; a hold needs no report. The controller waits 80 ms from the first sign of a shift, so that the plan is for the new demand alone.

--- a/include/figcleat/daemon/agent-node.h
+++ b/include/figcleat/daemon/agent-node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figcleat/daemon/node-base.h"
+#include "figcleat/group/choice-watch.h"
 #include "figcleat/http/client.h"
 
 #include <functional>
@@ -33,6 +34,14 @@
         std::string body;
     };
 
+    /** Map that the rank has begun to load, or is armed for. */
+    struct awaited_map
+    {
+        group::map_version version;
+        bool isInUse = false;
+        time_point since {};
+    };
+
     // http_client_handler
     void onAnswerStart(attempt_id attempt, int status, const http_headers &headers) override;
     void onBytes(attempt_id attempt, std::string_view bytes) override;
@@ -46,13 +55,13 @@
     void receive(const envelope &received) override;
     void writeMetrics(report::metrics_text &page) const override;
     void onCommand(const forward::rank_command &command);
+    void afterOrder(const group::rank_order &order, group::order_result result);
+    [[nodiscard]] bool hasArrived(const awaited_map &what) const;
     void poll();
     void watch();
     void readStatus();
     void onStatus(int status, const std::string &body);
     void readChosen();
-    /** Choices are read with every so many reports, so that large models do not fill the network with counts. */
-    [[nodiscard]] std::uint64_t watchesPerReading() const;
     void readLists();
     void report();
 
@@ -67,8 +76,10 @@
     bool m_choicesDue = false;
     /** Choices at the last reading; reports say what was chosen since. */
     group::expert_lists m_lastChosen;
-    /** Map that the rank loads; 0 for none. */
-    group::map_version m_loading {};
+    group::choice_watch m_choices;
+    std::optional<awaited_map> m_awaited;
+    /** The leader needs the next state that is read. */
+    bool m_reportDue = false;
     time_point m_reportedAt {};
     std::uint64_t m_term = 0;
     std::uint64_t m_reports = 0;
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -150,6 +150,8 @@
     void planNext();
     /** Plans at once if the map in use, or the one being loaded, does not serve recent demand. */
     void watchDemand();
+    /** A shift was seen just now, and what is known of the new demand is still mixed with the old one. */
+    [[nodiscard]] bool isSettling() const;
     /** Recent demand makes the busiest rank with this map much busier than was expected of it. */
     [[nodiscard]] bool isOutdated(const expert_map &map) const;
     void sendToUnsettled();
@@ -188,6 +190,7 @@
     std::uint64_t m_unanswered = 0;
     time_point m_nextPlan {};
     time_point m_demandWatched {};
+    std::optional<time_point> m_shiftSeen;
     double m_skew = 0;
     /** Skew of the map in use, or of the one being loaded, with the demand that it was planned for. */
     double m_expectedSkew = 0;
--- a/include/figcleat/group/popularity.h
+++ b/include/figcleat/group/popularity.h
@@ -80,5 +80,7 @@
 
 /** Half the sum of absolute differences of the shares, 0 for equal and 1 for disjoint distributions. */
 [[nodiscard]] double distance(const std::vector<double> &a, const std::vector<double> &b);
+/** Distance to the true distribution that counts of this size have from chance alone; 1 without counts. */
+[[nodiscard]] double noiseOf(const std::vector<double> &counts);
 
 } // namespace figcleat::group
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -4,6 +4,7 @@
 #include "figcleat/core/overloaded.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace figcleat
@@ -14,13 +15,16 @@
 
 /** Coordinators are asked who leads. */
 constexpr duration pollPeriod = std::chrono::milliseconds(1000);
-/** Period of reports; a leader needs them fresh for a switch of maps. */
-constexpr duration watchPeriod = std::chrono::milliseconds(200);
-/** Counts that are read with each report on average; a count takes 1 to 2 bytes on the way to the leader. */
-constexpr std::size_t countsPerReport = 500;
-constexpr std::uint64_t maxWatchesPerReading = 10;
-/** While the rank loads experts, the leader waits for the end. */
-constexpr duration loadingWatchPeriod = std::chrono::milliseconds(50);
+/** Period of readings of the engine, which are free on its VM. */
+constexpr duration watchPeriod = std::chrono::milliseconds(120);
+/** Reports are this far apart while nothing changes: each costs the leader processor time, and it hears every rank. */
+constexpr duration reportPeriod = std::chrono::milliseconds(400);
+/** While the rank loads experts or is about to switch, the leader waits for the end. */
+constexpr duration awaitedWatchPeriod = std::chrono::milliseconds(40);
+/** A load or a switch that takes longer has been given up. */
+constexpr duration longestAwaited = std::chrono::seconds(4);
+/** A smaller change of a rank's pace is told with the next report. */
+constexpr double paceChange = 0.25;
 /** The engine is on the same VM and answers within milliseconds, or has lost the answer. */
 constexpr duration engineTimeout = std::chrono::milliseconds(50);
 /** Lists of experts of all layers are the longest answers; an agent has 128 MB. */
@@ -48,8 +52,6 @@
 
 agent_node::agent_node(node_context context)
     : node_base(std::move(context))
-    // Agents start together; their readings should not come together.
-    , m_watches(m_random % maxWatchesPerReading)
 {
 }
 
@@ -69,8 +71,8 @@
         = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
     m_loop->every(pollPeriod, [this] { poll(); });
     m_loop->every(watchPeriod, [this] { watch(); });
-    m_loop->every(loadingWatchPeriod, [this] {
-        if (m_loading != group::map_version {}) {
+    m_loop->every(awaitedWatchPeriod, [this] {
+        if (m_awaited && now() - m_awaited->since < longestAwaited) {
             readStatus();
         }
     });
@@ -171,13 +173,30 @@
                        status, result == group::order_result::refused ? body : "");
         m_messenger->send(m_links.leader(coordinatorSilence, m_time->now()),
                           forward::rank_result { m_status->group, m_status->rank, { order.id, result } });
-        if (order.operation == group::rank_operation::prepare && result == group::order_result::accepted) {
-            m_loading = order.version;
-        }
-        readStatus();
+        afterOrder(order, result);
     });
 }
 
+void agent_node::afterOrder(const group::rank_order &order, group::order_result result)
+{
+    using group::rank_operation;
+    const bool isAccepted = result == group::order_result::accepted;
+    if (isAccepted && (order.operation == rank_operation::prepare || order.operation == rank_operation::arm)) {
+        m_awaited = awaited_map { order.version, order.operation == rank_operation::arm, now() };
+        return;
+    }
+    // The result says all of a hold; of a refusal the state tells why.
+    if (!isAccepted || order.operation != rank_operation::hold) {
+        m_reportDue = true;
+        readStatus();
+    }
+}
+
+bool agent_node::hasArrived(const awaited_map &what) const
+{
+    return !m_status->isOpen || (what.isInUse ? m_status->map : m_status->prepared) >= what.version;
+}
+
 void agent_node::poll()
 {
     m_messenger->tick();
@@ -188,7 +207,7 @@
 void agent_node::watch()
 {
     ++m_watches;
-    m_choicesDue = m_watches % watchesPerReading() == 0;
+    m_choicesDue = true;
     readStatus();
 }
 
@@ -220,19 +239,19 @@
     if (isSameMap) {
         next.experts = m_status->experts;
     }
+    const bool isAsBefore
+        = isSameMap && m_status->isOpen == next.isOpen && std::abs(m_status->pace - next.pace) < paceChange;
     m_status = std::move(next);
-    if (m_loading != group::map_version {}) {
-        const bool isLoading = m_status->prepared < m_loading && m_status->isOpen;
-        if (isLoading && m_time->now() - m_reportedAt < watchPeriod) {
-            return;
-        }
-        m_loading = isLoading ? m_loading : group::map_version {};
+    m_reportDue = m_reportDue || !isAsBefore;
+    if (m_awaited && hasArrived(*m_awaited)) {
+        m_awaited.reset();
+        m_reportDue = true;
     }
     if (m_status->experts.empty()) {
         readLists();
     } else if (std::exchange(m_choicesDue, false)) {
         readChosen();
-    } else {
+    } else if (m_reportDue) {
         report();
     }
 }
@@ -258,26 +277,23 @@
         if (const auto decoded = m_dialect->decodeChosen(body, m_status->experts.size(), *m_status); !decoded) {
             logger()->warn("event=choices_unreadable reason={}", decoded.error().detail);
         } else {
-            auto since = group::chosenSince(m_status->chosen, m_lastChosen);
-            m_lastChosen = std::exchange(m_status->chosen, std::move(since));
+            const auto since = group::chosenSince(m_status->chosen, m_lastChosen);
+            m_lastChosen = std::move(m_status->chosen);
+            m_reportDue = m_choices.add(since) || m_reportDue;
         }
-        report();
         m_status->chosen.clear();
+        if (m_reportDue || now() - m_reportedAt >= reportPeriod) {
+            m_status->chosen = m_choices.take();
+            report();
+            m_status->chosen.clear();
+        }
     });
 }
 
-std::uint64_t agent_node::watchesPerReading() const
-{
-    std::size_t counts = 0;
-    for (const auto &set : m_lastChosen) {
-        counts += set.size();
-    }
-    return std::clamp<std::uint64_t>(counts / countsPerReport, 1, maxWatchesPerReading);
-}
-
 void agent_node::report()
 {
     m_reportedAt = m_time->now();
+    m_reportDue = false;
     ++m_reports;
     const auto leader = m_links.leader(coordinatorSilence, m_reportedAt);
     if (!leader.empty()) {
--- /dev/null
+++ b/src/group/choice-watch.cc
@@ -0,0 +1,65 @@
+#include "figcleat/group/choice-watch.h"
+
+#include "figcleat/group/popularity.h"
+
+#include <numeric>
+
+namespace figcleat::group
+{
+
+namespace
+{
+
+/** Distance beyond chance at which a map that fits the one demand hardly fits the other. */
+constexpr double shiftDistance = 0.15;
+/** With fewer choices chance is larger than its estimate. */
+constexpr double leastChoicesPerExpert = 1;
+
+void addCounts(expert_lists &sums, const expert_lists &counts)
+{
+    if (sums.size() != counts.size()) {
+        sums = counts;
+        return;
+    }
+    for (std::size_t set = 0; set < counts.size(); ++set) {
+        sums[set].resize(counts[set].size(), 0);
+        for (std::size_t expert = 0; expert < counts[set].size(); ++expert) {
+            sums[set][expert] += counts[set][expert];
+        }
+    }
+}
+
+} // namespace
+
+bool choice_watch::add(const expert_lists &chosen)
+{
+    m_latest = chosen;
+    addCounts(m_collected, chosen);
+    return hasShifted();
+}
+
+expert_lists choice_watch::take()
+{
+    m_reported = hasShifted() ? m_latest : m_collected;
+    m_collected.clear();
+    return m_reported;
+}
+
+bool choice_watch::hasShifted() const
+{
+    if (m_reported.size() != m_latest.size()) {
+        return false;
+    }
+    double beyondChance = 0;
+    double choices = 0;
+    for (std::size_t set = 0; set < m_latest.size(); ++set) {
+        const std::vector<double> reported(m_reported[set].begin(), m_reported[set].end());
+        const std::vector<double> latest(m_latest[set].begin(), m_latest[set].end());
+        choices += std::accumulate(latest.begin(), latest.end(), 0.0) / static_cast<double>(latest.size());
+        beyondChance += distance(reported, latest) - noiseOf(latest) - noiseOf(reported);
+    }
+    const auto sets = static_cast<double>(m_latest.size());
+    return beyondChance > shiftDistance * sets && choices >= leastChoicesPerExpert * sets;
+}
+
+} // namespace figcleat::group
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -15,7 +15,9 @@
 constexpr double shiftRatio = 1.2;
 constexpr double shiftSkew = 1.6;
 /** Shifts are looked for this often: a few reports come in that time. */
-constexpr duration watchPeriod = std::chrono::milliseconds(40);
+constexpr duration watchPeriod = std::chrono::milliseconds(50);
+/** Time between the first sign of a shift and the plan: by then most ranks have told of the new demand alone. */
+constexpr duration settlingTime = std::chrono::milliseconds(80);
 /** Loading makes steps longer, so a map that saves less over `mapLifetime` is not worth it. */
 constexpr double leastGainSeconds = 0.45;
 /** Plans are made this often while nothing is under way. */
@@ -490,7 +492,7 @@
         recover();
         return;
     }
-    if (isClean() && m_now >= m_nextPlan) {
+    if (isClean() && m_now >= m_nextPlan && !isSettling()) {
         m_nextPlan = m_now + planPeriod;
         planNext();
     }
@@ -558,20 +560,27 @@
         return;
     }
     m_demandWatched = m_now;
-    if (!isLoading) {
-        const auto present = presentMap();
-        if (validate(present, m_settings.model.placements) && isOutdated(present)) {
-            m_nextPlan = m_now;
-        }
+    const auto map = isLoading ? expert_map { {}, m_size, m_layers } : presentMap();
+    if (!validate(map, m_settings.model.placements) || !isOutdated(map)) {
+        m_shiftSeen.reset();
+        return;
+    }
+    m_shiftSeen = m_shiftSeen.value_or(m_now);
+    if (m_now - *m_shiftSeen < settlingTime) {
         return;
     }
-    if (isOutdated({ {}, m_size, m_layers })) {
+    m_nextPlan = m_now;
+    if (isLoading) {
         note(fmt::format("abandoned=1 version={} reason=demand_shifted", m_version.value));
-        m_nextPlan = m_now;
         enter(phase::idle);
     }
 }
 
+bool map_controller::isSettling() const
+{
+    return m_shiftSeen && m_now - *m_shiftSeen < settlingTime;
+}
+
 void map_controller::planNext()
 {
     const auto present = presentMap();
@@ -580,6 +589,7 @@
         return;
     }
     const auto limits = planLimits();
+    m_shiftSeen.reset();
     m_skew = skewOf(demand.steady(), present, limits);
     const double recentSkew = skewOf(demand.recent(), present, limits);
     if (recentSkew > shiftSkew && recentSkew > shiftRatio * m_expectedSkew) {
--- a/src/group/popularity.cc
+++ b/src/group/popularity.cc
@@ -15,7 +15,13 @@
     return std::accumulate(values.begin(), values.end(), 0.0);
 }
 
-/** Distance to the true distribution that counts of this size have from chance alone. */
+std::vector<double> toDoubles(const std::vector<std::uint32_t> &counts)
+{
+    return { counts.begin(), counts.end() };
+}
+
+} // namespace
+
 double noiseOf(const std::vector<double> &counts)
 {
     const double total = sum(counts);
@@ -27,13 +33,6 @@
     return total > 0 ? 0.5 * std::sqrt(2 / 3.14159) * noise / total : 1;
 }
 
-std::vector<double> toDoubles(const std::vector<std::uint32_t> &counts)
-{
-    return { counts.begin(), counts.end() };
-}
-
-} // namespace
-
 double distance(const std::vector<double> &a, const std::vector<double> &b)
 {
     const double totalA = sum(a);
