Lower the level of targets only for pauses that last

Cause: fronts cut the requests that a target may have by 15% as soon as pauses near their limit, and raise them slowly. After a shift of demand pauses are long because the map does not fit. With the platform's figures a step of 6 requests at each rank takes 50 ms, one of 3 requests 43 ms: refusing half of the callers makes it 15% shorter, a map that fits halves it. The refused get nothing, where they would have got a late answer at worst.

Change: the level falls only when pauses have been too long for 2 s. Under overload that stays, it settles as before; the tests of that are unchanged. The new test failed before.

--- a/include/figcleat/forward/pace-controller.h
+++ b/include/figcleat/forward/pace-controller.h
@@ -34,6 +34,8 @@
     std::uint32_t m_slots = 0;
     /** Pauses since the last tick, as parts of their limits. */
     std::vector<double> m_pauses;
+    /** Pauses were last short enough, or there were none. */
+    time_point m_inTimeAt {};
     time_point m_lastCut {};
     time_point m_lastTick {};
 };
--- a/src/forward/pace-controller.cc
+++ b/src/forward/pace-controller.cc
@@ -10,6 +10,11 @@
 
 /** Pauses are judged together for about two steps of a group. */
 constexpr duration judgedPeriod = std::chrono::milliseconds(150);
+/**
+ * Pauses that are too long for less than this come from a map that does not fit yet, which fewer requests hardly
+ * shorten: the callers that are refused meanwhile would have got late answers instead of none.
+ */
+constexpr duration sustainedPeriod = std::chrono::seconds(2);
 /** A cut shows its effect once some of the running streams have ended. */
 constexpr duration cutPeriod = std::chrono::milliseconds(400);
 /** Parts of the longest allowed pause beyond which the level falls, and below which it may rise. */
@@ -47,6 +52,7 @@
 {
     if (slots != m_slots) {
         m_level = m_slots == 0 ? slots : std::min<double>(m_level, slots);
+        m_inTimeAt = m_slots == 0 ? now : m_inTimeAt;
         m_slots = slots;
     }
     if (now - m_lastTick < judgedPeriod) {
@@ -54,6 +60,7 @@
     }
     m_lastTick = now;
     if (m_pauses.empty()) {
+        m_inTimeAt = now;
         m_level = std::min<double>(m_level + raiseStep, m_slots);
         return;
     }
@@ -62,6 +69,9 @@
     const double judged = m_pauses[static_cast<std::size_t>(at)];
     m_pauses.clear();
     m_lastPause = judged;
+    if (judged <= cutAbove) {
+        m_inTimeAt = now;
+    }
     if (judged > hopelessAbove || (judged > 1 && m_level <= lowLevelShare * m_slots)) {
         m_fullUntil = now + fullPeriod;
     }
@@ -69,7 +79,8 @@
         m_level = m_slots;
         return;
     }
-    if (judged > cutAbove && now - m_lastCut >= cutPeriod) {
+    const bool isSustained = now - m_inTimeAt >= sustainedPeriod;
+    if (judged > cutAbove && isSustained && now - m_lastCut >= cutPeriod) {
         m_lastCut = now;
         m_level = std::max(minLevel, cutFactor * std::min(m_level, std::max(busiest, minLevel)));
     } else if (judged < raiseBelow && busiest + 1 >= m_level) {
--- a/test/pace-controller-test.cc
+++ b/test/pace-controller-test.cc
@@ -85,3 +85,20 @@
     }
     CHECK(pace.level() == slots);
 }
+
+TEST_CASE("long pauses that end with the next map do not lower the level", "[forward]")
+{
+    // Guards against refusing callers for seconds after each shift of demand, while a new map is loaded.
+    pace_controller pace;
+    time_point now { 1s };
+    pace.tick(slots, 0, now);
+    for (int i = 0; i < 200; ++i) {
+        now += 100ms;
+        const bool isAfterShift = i % 31 < 15;
+        for (int stream = 0; stream < 20; ++stream) {
+            pace.onPause(isAfterShift ? 130ms : 70ms, limit, now);
+        }
+        pace.tick(slots, slots, now);
+        CHECK(pace.level() == slots);
+    }
+}
