Report the reading after a shift of demand too

Cause: the reading in which demand shifts holds choices of both demands. The next one differs too little from it to be reported, so that the leader kept the mixed choices for 400 ms.

Change: the reading after one that showed a shift is reported as well, and alone. The test asks for it; it failed before.

--- a/include/figcleat/group/choice-watch.h
+++ b/include/figcleat/group/choice-watch.h
@@ -13,7 +13,8 @@
 class choice_watch
 {
 public:
-    /** Adds the choices of one reading; true if they differ so much from the last report that the leader needs them. */
+    /** Adds the choices of one reading; true if they differ so much from the last report that the leader needs them.
+     * The reading in which demand shifts tells of both demands, so the one after it is needed too. */
     [[nodiscard]] bool add(const expert_lists &chosen);
     /** Choices to report: all since the last report, after a shift those of the latest reading alone. */
     [[nodiscard]] expert_lists take();
@@ -24,6 +25,8 @@
     expert_lists m_latest;
     expert_lists m_collected;
     expert_lists m_reported;
+    /** The last report may tell of two demands. */
+    bool m_isMixed = false;
 };
 
 } // namespace figcleat::group
--- a/src/group/choice-watch.cc
+++ b/src/group/choice-watch.cc
@@ -35,12 +35,14 @@
 {
     m_latest = chosen;
     addCounts(m_collected, chosen);
-    return hasShifted();
+    return m_isMixed || hasShifted();
 }
 
 expert_lists choice_watch::take()
 {
-    m_reported = hasShifted() ? m_latest : m_collected;
+    const bool isShift = hasShifted();
+    m_reported = isShift || m_isMixed ? m_latest : m_collected;
+    m_isMixed = isShift;
     m_collected.clear();
     return m_reported;
 }
--- a/src/group/demand.cc
+++ b/src/group/demand.cc
@@ -12,7 +12,7 @@
 /** Choices lose half of their weight in this time; demand shifts every few seconds. */
 constexpr double steadyHalfLifeSeconds = 0.35;
 /** The same for recent choices; after a shift all ranks report within two readings of 120 ms. */
-constexpr double recentHalfLifeSeconds = 0.08;
+constexpr double recentHalfLifeSeconds = 0.06;
 
 /** Multiplies the sums by `kept` and adds the counts. */
 void addDecayed(expert_demand &sums, const expert_lists &counts, double kept)
--- a/test/choice-watch-test.cc
+++ b/test/choice-watch-test.cc
@@ -43,6 +43,9 @@
     // What came before the shift tells of the old demand.
     const auto reported = watch.take();
     CHECK(std::accumulate(reported.front().begin(), reported.front().end(), 0U) == 500);
+    // The first reading after the shift may hold choices of both demands.
+    CHECK(watch.add(choices(random, 1, 500)));
+    static_cast<void>(watch.take());
     CHECK_FALSE(watch.add(choices(random, 1, 500)));
 }
 
