Count the margin before a held step in time

Cause: after a lost answer the step to be held was ten steps ahead, meant as 0.5 s at 50 ms a step. Just when a map does not fit, a step takes 100 ms and more.

Change: 0.45 s, counted with the time that steps take now. The test failed before (8.7 steps ahead, bound 7). The plan after a shift also waits 100 ms instead of 80 ms from its first sign, as the reading after it comes 120 ms later.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -132,6 +132,8 @@
     void handle(const rank_reported &event);
     void handle(const order_answered &event);
     void handle(const map_tick &event);
+    void learnStepTime(step_number step);
+    [[nodiscard]] std::uint64_t unansweredStepMargin() const;
     void restart(const engine_rank_status &status);
     [[nodiscard]] bool isComplete() const;
     [[nodiscard]] bool areFresh(duration window) const;
@@ -186,6 +188,10 @@
     /** Rank that holds the step. */
     rank_number m_holder = 0;
     std::uint64_t m_stepMargin = 0;
+    step_number m_furthestStep;
+    time_point m_furthestAt {};
+    /** Smoothed time of a step; 0 if not known. */
+    double m_stepSeconds = 0;
     /** Orders of the switch under way that got no answer. */
     std::uint64_t m_unanswered = 0;
     time_point m_nextPlan {};
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -17,7 +17,7 @@
 /** Shifts are looked for this often: a few reports come in that time. */
 constexpr duration watchPeriod = std::chrono::milliseconds(50);
 /** Time between the first sign of a shift and the plan: by then most ranks have told of the new demand alone. */
-constexpr duration settlingTime = std::chrono::milliseconds(80);
+constexpr duration settlingTime = std::chrono::milliseconds(100);
 /** Loading makes steps longer, so a map that saves less over `mapLifetime` is not worth it. */
 constexpr double leastGainSeconds = 0.45;
 /** Plans are made this often while nothing is under way. */
@@ -38,10 +38,13 @@
 constexpr std::uint64_t firstStepMargin = 2;
 constexpr std::uint64_t maxStepMargin = 48;
 /**
- * The same while orders go unanswered: several rounds of about 55 ms, at 50 ms a step, have to end before the held step
- * is reached, as a pause of a step makes every stream of the group late.
+ * The same while orders go unanswered: several rounds of about 55 ms have to end before the held step is reached, as a
+ * pause of a step makes every stream of the group late. The longer the steps, the fewer of them that takes.
  */
-constexpr std::uint64_t unansweredStepMargin = 10;
+constexpr double unansweredMarginSeconds = 0.45;
+constexpr std::uint64_t maxUnansweredStepMargin = 10;
+/** Weight of the newest step in the smoothed time of a step. */
+constexpr double stepTimeWeight = 0.3;
 /** New experts of a rank and set in one switch; more take longer to load than demand stays. */
 constexpr std::size_t loadsPerSwitch = 1;
 /** Time for which a map is taken to be of use; demand shifts every few seconds. */
@@ -107,6 +110,8 @@
 {
     m_epoch = status.epoch;
     m_step = {};
+    m_furthestStep = {};
+    m_stepSeconds = 0;
     m_size = status.ranks;
     m_ranks.clear();
     enter(phase::idle);
@@ -128,6 +133,7 @@
         return;
     }
     m_settings.demand->observe(status.chosen, m_now);
+    learnStepTime(status.step);
     rank.status = status;
     rank.heard = m_now;
     rank.agentSilent = false;
@@ -138,6 +144,29 @@
     advance();
 }
 
+void map_controller::learnStepTime(step_number step)
+{
+    if (step <= m_furthestStep) {
+        return;
+    }
+    const auto steps = static_cast<double>(step.value - m_furthestStep.value);
+    const double seconds = std::chrono::duration<double>(m_now - m_furthestAt).count() / steps;
+    if (m_furthestStep != step_number {}) {
+        m_stepSeconds += stepTimeWeight * (seconds - m_stepSeconds);
+    }
+    m_furthestStep = step;
+    m_furthestAt = m_now;
+}
+
+std::uint64_t map_controller::unansweredStepMargin() const
+{
+    if (m_stepSeconds <= 0) {
+        return maxUnansweredStepMargin;
+    }
+    const auto steps = static_cast<std::uint64_t>(std::ceil(unansweredMarginSeconds / m_stepSeconds));
+    return std::clamp(steps, firstStepMargin, maxUnansweredStepMargin);
+}
+
 void map_controller::handle(const order_answered &event)
 {
     const auto found = m_ranks.find(event.rank);
@@ -414,7 +443,7 @@
         break;
     case phase::switching:
         ++m_switches;
-        m_stepMargin = m_unanswered > 0 ? unansweredStepMargin : std::max(firstStepMargin, m_stepMargin / 2);
+        m_stepMargin = m_unanswered > 0 ? unansweredStepMargin() : std::max(firstStepMargin, m_stepMargin / 2);
         note(fmt::format("switched=1 version={} step={}", m_version.value, m_step.value));
         enter(phase::idle);
         break;
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -228,7 +228,7 @@
             for (auto &one : m_group.members()) {
                 one.load();
             }
-            if (i % 5 == 0) {
+            if (i % m_stepTicks == 0) {
                 m_group.beginStep();
             }
             for (auto &answer : std::exchange(m_answers, {})) {
@@ -288,6 +288,17 @@
         m_frozenAgent = rank;
     }
 
+    void setStepTicks(int ticks)
+    {
+        m_stepTicks = ticks;
+    }
+
+    /** Steps between the one of the group and the one that it is asked to hold, as a mean over all holds. */
+    double meanHoldDistance() const
+    {
+        return static_cast<double>(m_holdDistance) / static_cast<double>(std::max<std::uint64_t>(1, m_holds));
+    }
+
     /** Holds through the agent of that rank reach neither the engine nor an answer. */
     void loseHolds(rank_number rank)
     {
@@ -323,6 +334,10 @@
                 continue;
             }
             const bool isHold = sent->order.operation == rank_operation::hold;
+            if (isHold) {
+                ++m_holds;
+                m_holdDistance += sent->order.step.value - m_group.currentStep().value;
+            }
             if (isHold && m_losesHolds == sent->rank && !sent->directly) {
                 continue;
             }
@@ -358,6 +373,9 @@
     std::vector<late_order> m_late;
     std::optional<rank_number> m_frozenAgent;
     std::optional<rank_number> m_losesHolds;
+    int m_stepTicks = 5;
+    std::uint64_t m_holds = 0;
+    std::uint64_t m_holdDistance = 0;
 };
 
 } // namespace
@@ -440,6 +458,22 @@
     CHECK(w.releases());
 }
 
+TEST_CASE("after lost answers a long step is not held as many steps ahead as a short one", "[group][map]")
+{
+    // Guards against a switch that waits for ten steps of 100 ms, half of the life of a demand, because answers were
+    // lost.
+    world w(8, 0.2);
+    w.setStepTicks(10);
+    for (int round = 0; round < 20; ++round) {
+        w.run(300);
+        w.group().shiftDemand();
+    }
+    // Retries after a lost answer take 0.45 s; reports are up to two steps old, and a refused hold is asked again
+    // later.
+    CHECK(w.meanHoldDistance() <= 7);
+    CHECK(w.controller().switches() >= 15);
+}
+
 TEST_CASE("a rank that forms its group again starts over", "[group][map]")
 {
     world w(3, 0);
