Tell when a coordinator cannot keep up with its messages

What could not be told apart: a leader that decides late from one that hears late.

The coordinator measures how late its loop runs: a metric, and a line at most once a second when it is 100 ms or more, with the number of reports in that second.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -80,6 +80,8 @@
     void update(const peer_address &to, subscriber &who);
     void pollOthers();
     void tick();
+    /** Tells when this process cannot keep up with its messages. */
+    void measureDelay();
 
     std::unique_ptr<control_node> m_control;
     std::unique_ptr<http_server> m_server;
@@ -91,6 +93,12 @@
     contact_list m_otherContacts;
     std::map<result_code, std::uint64_t> m_commands;
     time_point m_lastTick {};
+    /** Of ticks, in the window that has begun and in the one before. */
+    duration m_longestDelay {};
+    duration m_lastWindowDelay {};
+    time_point m_delayWindowStart {};
+    std::uint64_t m_rankReports = 0;
+    std::uint64_t m_reportsAtWindowStart = 0;
     bool m_hasLeader = false;
     bool m_stopping = false;
 };
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -26,6 +26,9 @@
 constexpr std::size_t maxSubscribers = 4096;
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
+/** A loop that is this late has more messages to handle than its processor share allows. */
+constexpr duration notableDelay = 2 * tickPeriod;
+constexpr duration delayWindow = std::chrono::seconds(1);
 /** Fronts that are named to fronts, about 35 bytes each. */
 constexpr std::size_t maxFrontsNamed = 1024;
 
@@ -132,6 +135,10 @@
         page.counter("figcleat_commands_total", "Operators' commands that were decided here.",
                      fmt::format("code=\"{}\",name=\"{}\"", static_cast<int>(code), describe(code).name), count);
     }
+    page.gauge("figcleat_loop_delay_seconds", "Longest delay of the event loop in the last second.", {},
+               std::chrono::duration<double>(m_lastWindowDelay).count());
+    page.counter("figcleat_rank_reports_received_total", "Reports of ranks that came to this coordinator.", {},
+                 m_rankReports);
     m_maps.writeMetrics(page);
 }
 
@@ -327,6 +334,7 @@
                    [&](const forward::node_poll &poll) { onPoll(received, poll); },
                    [&](const forward::node_update &update) { onUpdate(received, update); },
                    [&](const forward::rank_report &report) {
+                       ++m_rankReports;
                        if (now() - m_lastTick > suspendedPause) {
                            tick();
                        }
@@ -468,8 +476,28 @@
     }
 }
 
+void coordinator_node::measureDelay()
+{
+    const time_point now = m_time->now();
+    if (m_lastTick != time_point {}) {
+        m_longestDelay = std::max(m_longestDelay, now - m_lastTick - tickPeriod);
+    }
+    if (now - m_delayWindowStart < delayWindow) {
+        return;
+    }
+    if (m_longestDelay >= notableDelay) {
+        logger()->warn("event=loop_late longest_ms={} rank_reports={}",
+                       std::chrono::duration_cast<std::chrono::milliseconds>(m_longestDelay).count(),
+                       m_rankReports - m_reportsAtWindowStart);
+    }
+    m_lastWindowDelay = std::exchange(m_longestDelay, {});
+    m_reportsAtWindowStart = m_rankReports;
+    m_delayWindowStart = now;
+}
+
 void coordinator_node::tick()
 {
+    measureDelay();
     m_lastTick = m_time->now();
     m_messenger->tick();
     m_control->tick();
--- a/src/daemon/map-operator.cc
+++ b/src/daemon/map-operator.cc
@@ -22,7 +22,7 @@
 constexpr std::size_t maxGroups = 256;
 /** An engine answers within milliseconds, or has lost the answer. */
 constexpr duration engineTimeout = std::chrono::milliseconds(120);
-/** Reports come every 200 ms; one that is older says nothing of the engine now. */
+/** Reports come every 400 ms or sooner; one that is older says nothing of the engine now. */
 constexpr duration reportSilence = std::chrono::milliseconds(1500);
 /** Below it an engine is as good as the others. */
 constexpr double slowPace = 1.25;
