--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -182,6 +182,33 @@
     }
 }
 
+TEST_CASE("every numeric setting may be a fraction", "[platform]")
+{
+    // Guards against a process that does not start because a bound of its deployment is no whole number.
+    for (const std::string field : { "machines", "grace-s", "retry-budget-ratio", "retry-budget-slack",
+                                     "retry-window-s" }) {
+        INFO(field);
+        const auto begin = settingsText.find(field + " = ");
+        REQUIRE(begin != std::string::npos);
+        const auto end = settingsText.find('\n', begin);
+        for (const std::string value : { "3.7", "3", "3.0" }) {
+            auto text = settingsText;
+            text.replace(begin, end - begin, field + " = " + value);
+            CHECK(parseSettings(text, forward::node_role::front));
+        }
+        for (const std::string value : { "\"3\"", "nan", "-1", "1e30" }) {
+            auto text = settingsText;
+            text.replace(begin, end - begin, field + " = " + value);
+            CHECK_FALSE(parseSettings(text, forward::node_role::front));
+        }
+    }
+    auto ports = settingsText;
+    ports.replace(ports.find("[7340,"), 6, "[7340.0,");
+    CHECK(parseSettings(ports, forward::node_role::front)->mailboxPort == 7340);
+    ports.replace(ports.find("[7340.0,"), 8, "[70000,");
+    CHECK_FALSE(parseSettings(ports, forward::node_role::front));
+}
+
 TEST_CASE("the state of a rank is read from its engine", "[platform]")
 {
     group::engine_rank_status status;
