Let an agent control its group instead of the leader of the log

Cause: the leader of the log chose, planned and ordered for all ranks with 0.15 of a core. Its loop came 250 ms late, it lost its leadership five times, and holders of a step counted as silent.

The agents of all ranks promise to take no order of an earlier controller before the new one orders; the agent of the earlier controller is one of them. Relays, about as many as each has ranks and each within one data centre, pass orders on and sum choices, packed to one byte a count.

--- a/include/figcleat/daemon/agent-node.h
+++ b/include/figcleat/daemon/agent-node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "figcleat/daemon/group-control.h"
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/group/choice-watch.h"
 #include "figcleat/http/client.h"
@@ -13,8 +14,11 @@
 {
 
 /**
- * A process beside a model engine: reports the state of its rank to the leader of the replicated log and passes the
- * leader's orders on. Reading an engine's state from its own VM is free and fresh.
+ * A process beside a model engine: reports the state of its rank to the controller of its group and passes the
+ * controller's orders on. Reading an engine's state from its own VM is free and fresh.
+ *
+ * Agents collect the reports of other ranks for the controller and spread its orders, and one of them is the
+ * controller.
  */
 class agent_node : public node_base, public http_client_handler
 {
@@ -54,7 +58,18 @@
 
     void receive(const envelope &received) override;
     void writeMetrics(report::metrics_text &page) const override;
-    void onCommand(const forward::rank_command &command);
+    [[nodiscard]] group_control::parts controlParts();
+    [[nodiscard]] std::vector<group::group_seat> seat() const;
+    /** Sends a message; one to this process itself arrives at once. */
+    void deliver(const peer_address &to, process_message message);
+    void onAnnouncement(const group::control_announcement &announcement);
+    void onCommand(const peer_address &from, const group::rank_command &command);
+    void spread(const peer_address &from, const group::spread_command &command);
+    /** An order of a controller that this agent does not follow. */
+    void refuse(const peer_address &from, const group::rank_order &order, fence_number fence);
+    /** Sends the controller what this agent has collected as a relay, soon. */
+    void scheduleRelay();
+    void relayReports();
     void afterOrder(const group::rank_order &order, group::order_result result);
     [[nodiscard]] bool hasArrived(const awaited_map &what) const;
     void poll();
@@ -78,10 +93,14 @@
     group::expert_lists m_lastChosen;
     group::choice_watch m_choices;
     std::optional<awaited_map> m_awaited;
-    /** The leader needs the next state that is read. */
+    /** The controller needs the next state that is read. */
     bool m_reportDue = false;
     time_point m_reportedAt {};
-    std::uint64_t m_term = 0;
+    group::followed_control m_control;
+    group::report_relay m_relay;
+    event *m_relayDue = nullptr;
+    bool m_hasNews = false;
+    group_control m_groupControl;
     std::uint64_t m_reports = 0;
     std::map<group::order_result, std::uint64_t> m_orders;
     std::uint64_t m_engineFailures = 0;
--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "figcleat/daemon/control-node.h"
-#include "figcleat/daemon/map-operator.h"
 #include "figcleat/daemon/node-base.h"
+#include "figcleat/group/control-leases.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -44,7 +44,6 @@
     };
 
     [[nodiscard]] expected<void> openLog();
-    [[nodiscard]] map_operator::parts mapParts();
 
     // http_handler
     void onRequest(exchange_id exchange, http_request request) override;
@@ -71,6 +70,11 @@
     void writeMetrics(report::metrics_text &page) const override;
     void onPoll(const envelope &received, const forward::node_poll &poll);
     void onUpdate(const envelope &received, const forward::node_update &update);
+    void onRenewal(const envelope &received, const forward::control_renewal &renewal);
+    /** Appoints controllers of groups while this coordinator leads. */
+    void controlGroups();
+    /** True once this coordinator leads and the controllers of all groups have told it of their engines. */
+    [[nodiscard]] bool knowsEngines() const;
     /** Collects the contacts that updates name, once for all of them. */
     void collectContacts();
     /** Tells the log of a registration that is refused for its address. */
@@ -88,7 +92,11 @@
     forward::target_directory m_directory;
     std::map<peer_address, subscriber> m_subscribers;
     std::map<exchange_id, http_request> m_open;
-    map_operator m_maps;
+    group::control_leases m_leases;
+    /** Engines that are slow or whose group is broken, as the controllers of the groups say. */
+    std::map<group_id, std::vector<forward::engine_condition>> m_engines;
+    std::optional<std::uint64_t> m_leadsInTerm;
+    time_point m_leadsSince {};
     contact_list m_frontContacts;
     contact_list m_otherContacts;
     std::map<result_code, std::uint64_t> m_commands;
@@ -97,8 +105,8 @@
     duration m_longestDelay {};
     duration m_lastWindowDelay {};
     time_point m_delayWindowStart {};
-    std::uint64_t m_rankReports = 0;
-    std::uint64_t m_reportsAtWindowStart = 0;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_messagesAtWindowStart = 0;
     bool m_hasLeader = false;
     bool m_stopping = false;
 };
--- a/include/figcleat/daemon/loop.h
+++ b/include/figcleat/daemon/loop.h
@@ -30,6 +30,8 @@
     /** An event that runs its task once, after the events that are due now, each time it is triggered. */
     [[nodiscard]] event *deferred(task what);
     static void trigger(event *later);
+    /** Triggers the event once after that time; a time that is set already is replaced. */
+    static void triggerAfter(event *later, duration delay);
     void run();
     void stop();
 
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -99,8 +99,9 @@
                    attempt_closed, peer_state, proposal, proposal_answer, usage_query, usage_answer, membership_request,
                    summary_query, summary_answer, distribution::heartbeat, distribution::fetch_configuration,
                    distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message,
-                   forward::node_poll, forward::node_update, forward::rank_report, forward::rank_command,
-                   forward::rank_result, forward::node_load>;
+                   forward::node_poll, forward::node_update, forward::node_load, forward::control_renewal,
+                   group::control_invitation, group::control_grant, group::control_announcement, group::rank_report,
+                   group::rank_result, group::group_report, group::rank_command, group::spread_command>;
 
 struct envelope
 {
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -2,7 +2,7 @@
 
 #include "figcleat/agreed/commands.h"
 #include "figcleat/forward/target-directory.h"
-#include "figcleat/group/engine-rank.h"
+#include "figcleat/group/control-messages.h"
 
 #include <optional>
 #include <vector>
@@ -55,8 +55,10 @@
     /** Checksum of the contacts of that coordinator that the node has. */
     std::uint64_t contactsChecksum = 0;
     revision_number revision;
+    /** Place of the rank beside an agent; empty if its engine belongs to no group, and for other nodes. */
+    std::vector<group::group_seat> seat;
 
-    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision)
+    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision, seat)
 };
 
 /** A model engine that cannot be used like a sound one. */
@@ -89,7 +91,7 @@
     peer_address leader;
     /** Term of the log at the sender. */
     std::uint64_t term = 0;
-    /** True if the sender leads the log and so hears the agents; then `engines` replaces earlier lists. */
+    /** True if the sender leads the log and so hears the controllers; then `engines` replaces earlier lists. */
     bool knowsEngines = false;
     /** Engines that are slow or whose group is broken. */
     std::vector<engine_condition> engines;
@@ -128,30 +130,13 @@
     MSGPACK_DEFINE(scope, uses)
 };
 
-/** State of the rank beside an agent, for the leader of the replicated log. */
-struct rank_report
+/** A controller of a group asks the leader to prolong its control, and tells which engines are impaired. */
+struct control_renewal
 {
-    group::engine_rank_status status;
-
-    MSGPACK_DEFINE(status)
-};
-
-/** An order of the leader for the rank beside an agent; agents refuse those of earlier terms. */
-struct rank_command
-{
-    std::uint64_t term = 0;
-    group::rank_order order;
-
-    MSGPACK_DEFINE(term, order)
-};
-
-struct rank_result
-{
-    group_id group;
-    group::rank_number rank = 0;
-    group::rank_order_answer answer;
+    group::control_request request;
+    std::vector<engine_condition> engines;
 
-    MSGPACK_DEFINE(group, rank, answer)
+    MSGPACK_DEFINE(request, engines)
 };
 
 } // namespace figcleat::forward
--- a/include/figcleat/group/engine-rank.h
+++ b/include/figcleat/group/engine-rank.h
@@ -46,11 +46,11 @@
     /** Experts of this rank under `map`. */
     expert_lists experts {};
     /** How often each expert was chosen by this rank's requests since the last report with choices; empty if not read.
-     */
+     * Messages carry it apart. */
     expert_lists chosen {};
 
     MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held,
-                   experts, chosen)
+                   experts)
 };
 
 /** Choices between two readings of counts that only grow; 0 for a count that fell, as after a restart. */
--- a/include/figcleat/group/group-model.h
+++ b/include/figcleat/group/group-model.h
@@ -3,6 +3,7 @@
 #include "figcleat/core/units.h"
 
 #include <cstddef>
+#include <msgpack.hpp>
 
 namespace figcleat::group
 {
@@ -22,6 +23,7 @@
     double expertShare = 0;
 
     bool operator==(const group_model &) const = default;
+    MSGPACK_DEFINE(sets, experts, placements, spare, bytesPerExpert, loadBytesPerSecond, expertShare)
 };
 
 } // namespace figcleat::group
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "figcleat/core/clock.h"
+#include "figcleat/group/control-messages.h"
 #include "figcleat/group/demand.h"
-#include "figcleat/group/engine-rank.h"
 #include "figcleat/group/group-model.h"
 #include "figcleat/group/planner.h"
 
@@ -23,6 +23,12 @@
     engine_rank_status status;
 };
 
+/** Choices of some ranks since the last event of this kind; reports may carry those of their rank instead. */
+struct choices_counted
+{
+    expert_lists chosen;
+};
+
 struct order_answered
 {
     rank_number rank = 0;
@@ -33,7 +39,7 @@
 {
 };
 
-using map_event = std::variant<rank_reported, order_answered, map_tick>;
+using map_event = std::variant<rank_reported, choices_counted, order_answered, map_tick>;
 
 // Actions.
 
@@ -45,13 +51,21 @@
     bool directly = false;
 };
 
+/** One order for several ranks, sent for the first time. */
+struct spread_order
+{
+    rank_order order;
+    /** Without addresses of agents. */
+    std::vector<order_address> to;
+};
+
 /** For logs. */
 struct map_note
 {
     std::string what;
 };
 
-using map_action = std::variant<send_order, map_note>;
+using map_action = std::variant<send_order, spread_order, map_note>;
 
 struct map_controller_settings
 {
@@ -130,6 +144,7 @@
     };
 
     void handle(const rank_reported &event);
+    void handle(const choices_counted &event);
     void handle(const order_answered &event);
     void handle(const map_tick &event);
     void learnStepTime(step_number step);
@@ -162,6 +177,10 @@
     /** The agent of the holding rank is silent: gives the hold up and asks another rank to hold a later step. */
     void holdElsewhere();
     void send(rank_number rank, rank_state &to, rank_order order);
+    /** Time after which an order of the present phase is sent again. */
+    [[nodiscard]] duration answerTimeout() const;
+    /** The same order to all these ranks. */
+    void spread(const std::vector<rank_number> &to);
     [[nodiscard]] rank_order orderFor(const rank_state &to) const;
     [[nodiscard]] bool takesPart(rank_number rank) const;
     [[nodiscard]] expert_map presentMap() const;
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -17,9 +17,13 @@
 constexpr duration pollPeriod = std::chrono::milliseconds(1000);
 /** Period of readings of the engine, which are free on its VM. */
 constexpr duration watchPeriod = std::chrono::milliseconds(120);
-/** Reports are this far apart while nothing changes: each costs the leader processor time, and it hears every rank. */
+/** Reports are this far apart while nothing changes: each costs the controller processor time. */
 constexpr duration reportPeriod = std::chrono::milliseconds(400);
-/** While the rank loads experts or is about to switch, the leader waits for the end. */
+/** A relay waits this long for what other ranks say before it tells the controller. */
+constexpr duration relayPeriod = std::chrono::milliseconds(10);
+/** Period in which the control of a group is prolonged and its orders are sent again. */
+constexpr duration controlPeriod = std::chrono::milliseconds(50);
+/** While the rank loads experts or is about to switch, the controller waits for the end. */
 constexpr duration awaitedWatchPeriod = std::chrono::milliseconds(40);
 /** A load or a switch that takes longer has been given up. */
 constexpr duration longestAwaited = std::chrono::seconds(4);
@@ -52,9 +56,32 @@
 
 agent_node::agent_node(node_context context)
     : node_base(std::move(context))
+    , m_groupControl(controlParts())
 {
 }
 
+group_control::parts agent_node::controlParts()
+{
+    group_control::parts wiring;
+    wiring.eventLoop = m_loop;
+    wiring.time = m_time;
+    wiring.language = m_dialect;
+    wiring.incarnation = m_incarnation;
+    wiring.self = m_self;
+    wiring.send = [this](const peer_address &to, process_message message) { deliver(to, std::move(message)); };
+    wiring.sendToLeader = [this](const process_message &message, bool toAll) {
+        const auto leader = m_links.leader(coordinatorSilence, now());
+        if (!toAll && !leader.empty()) {
+            m_messenger->send(leader, message);
+            return;
+        }
+        for (const auto &coordinator : m_links.addresses()) {
+            m_messenger->send(coordinator, message);
+        }
+    };
+    return wiring;
+}
+
 expected<void> agent_node::start()
 {
     if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
@@ -69,7 +96,9 @@
                                         .maxBodyBytes = maxAnswerBytes };
     m_engine
         = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
+    m_relayDue = m_loop->deferred([this] { relayReports(); });
     m_loop->every(pollPeriod, [this] { poll(); });
+    m_loop->every(controlPeriod, [this] { m_groupControl.tick(); });
     m_loop->every(watchPeriod, [this] { watch(); });
     m_loop->every(awaitedWatchPeriod, [this] {
         if (m_awaited && now() - m_awaited->since < longestAwaited) {
@@ -88,7 +117,10 @@
 
 void agent_node::writeMetrics(report::metrics_text &page) const
 {
-    page.counter("figcleat_rank_reports_total", "Reports of the rank's state to the leader.", {}, m_reports);
+    page.counter("figcleat_rank_reports_total", "Reports of the rank's state to its relay.", {}, m_reports);
+    m_groupControl.writeMetrics(page);
+    page.gauge("figcleat_followed_fence", "Fence of the controller that this agent follows.", {},
+               static_cast<double>(m_control.latest().fence.value));
     page.counter("figcleat_engine_failures_total", "Calls to the engine without an answer.", {}, m_engineFailures);
     for (const auto &[result, count] : m_orders) {
         page.counter("figcleat_rank_orders_total", "Orders passed on to the engine.",
@@ -148,33 +180,132 @@
     std::visit(overloaded {
                    [&](const forward::node_update &update) {
                        m_links.onUpdate(received.from, received.incarnation, update, m_time->now());
-                       m_term = std::max(m_term, update.term);
                    },
-                   [&](const forward::rank_command &command) { onCommand(command); },
+                   [&](const group::control_invitation &invitation) {
+                       for (const auto &own : seat()) {
+                           m_groupControl.onInvitation(own, invitation);
+                       }
+                   },
+                   [&](const group::control_grant &grant) {
+                       for (const auto &own : seat()) {
+                           if (grant.fence >= m_control.latest().fence) {
+                               m_groupControl.onGrant(own, grant);
+                           }
+                       }
+                   },
+                   [&](const group::control_announcement &announcement) { onAnnouncement(announcement); },
+                   [&](const group::rank_report &report) {
+                       m_relay.add(report, now());
+                       scheduleRelay();
+                   },
+                   [&](const group::rank_result &result) {
+                       m_relay.add(result);
+                       scheduleRelay();
+                   },
+                   [&](const group::group_report &report) { m_groupControl.receive(report); },
+                   [&](const group::rank_command &command) { onCommand(received.from, command); },
+                   [&](const group::spread_command &command) { spread(received.from, command); },
                    [](const auto &) {},
                },
                received.message);
 }
 
-void agent_node::onCommand(const forward::rank_command &command)
+std::vector<group::group_seat> agent_node::seat() const
 {
-    if (command.term < m_term || !m_status) {
-        logger()->warn("event=order_refused order={} term={} known_term={}", command.order.id.value, command.term,
-                       m_term);
+    if (!m_status) {
+        return {};
+    }
+    return { { m_status->service, m_status->group, m_status->rank, m_status->ranks, m_status->address } };
+}
+
+void agent_node::deliver(const peer_address &to, process_message message)
+{
+    if (to == m_self) {
+        receive({ m_self, m_incarnation, std::move(message) });
+    } else {
+        m_messenger->send(to, std::move(message));
+    }
+}
+
+void agent_node::onAnnouncement(const group::control_announcement &announcement)
+{
+    const bool isNew = announcement.fence > m_control.latest().fence;
+    if (!m_status || announcement.group != m_status->group || !m_control.follow(announcement)) {
         return;
     }
-    m_term = command.term;
-    const auto order = command.order;
-    call(m_dialect->orderCall(order), [this, order](int status, const std::string &body) {
-        const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
-        ++m_orders[result];
-        logger()->info("event=order op={} version={} step={} expected={} status={} answer={}",
-                       static_cast<int>(order.operation), order.version.value, order.step.value, order.expectedOrders,
-                       status, result == group::order_result::refused ? body : "");
-        m_messenger->send(m_links.leader(coordinatorSilence, m_time->now()),
-                          forward::rank_result { m_status->group, m_status->rank, { order.id, result } });
-        afterOrder(order, result);
-    });
+    if (isNew) {
+        logger()->info("event=controller group={} fence={} controller={}", announcement.group.value,
+                       announcement.fence.value, announcement.controller.value);
+    }
+    m_groupControl.onFence(announcement.fence);
+    // The report promises not to take orders of earlier controllers, so it has to be newer than their last order.
+    m_reportDue = true;
+    readStatus();
+}
+
+void agent_node::scheduleRelay()
+{
+    // Replaces the later time at which choices are due.
+    if (!std::exchange(m_hasNews, true)) {
+        loop::triggerAfter(m_relayDue, relayPeriod);
+    }
+}
+
+void agent_node::relayReports()
+{
+    m_hasNews = false;
+    auto report = m_relay.take(m_control.latest().group, m_control.latest().fence, now());
+    if (!report.news.empty() || report.chosen.sets > 0) {
+        deliver(m_control.latest().controller, std::move(report));
+    }
+    if (const auto due = m_relay.choicesDue()) {
+        loop::triggerAfter(m_relayDue, std::max(relayPeriod, *due - now()));
+    }
+}
+
+void agent_node::refuse(const peer_address &from, const group::rank_order &order, fence_number fence)
+{
+    logger()->warn("event=order_refused order={} fence={} followed={}", order.id.value, fence.value,
+                   m_control.latest().fence.value);
+    if (fence < m_control.latest().fence) {
+        // A controller that has been replaced stops as soon as it knows.
+        deliver(from, m_control.latest());
+    }
+}
+
+void agent_node::spread(const peer_address &from, const group::spread_command &command)
+{
+    if (!m_control.takesOrders(command.fence)) {
+        refuse(from, command.order, command.fence);
+        return;
+    }
+    group::rank_command one { command.fence, command.order };
+    for (const auto &to : command.to) {
+        one.order.id = to.id;
+        one.order.expectedOrders = to.expectedOrders;
+        deliver(to.agent, one);
+    }
+}
+
+void agent_node::onCommand(const peer_address &from, const group::rank_command &command)
+{
+    if (!m_control.takesOrders(command.fence) || !m_status) {
+        refuse(from, command.order, command.fence);
+        return;
+    }
+    // Of the map only the ranks' experts are needed later, and it is long.
+    auto order = command.order;
+    order.map.clear();
+    call(m_dialect->orderCall(command.order),
+         [this, from, order, fence = command.fence](int status, const std::string &body) {
+             const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
+             ++m_orders[result];
+             logger()->info("event=order op={} version={} step={} expected={} status={} answer={}",
+                            static_cast<int>(order.operation), order.version.value, order.step.value,
+                            order.expectedOrders, status, result == group::order_result::refused ? body : "");
+             deliver(from, group::rank_result { fence, m_status->rank, { order.id, result } });
+             afterOrder(order, result);
+         });
 }
 
 void agent_node::afterOrder(const group::rank_order &order, group::order_result result)
@@ -201,7 +332,7 @@
 {
     m_messenger->tick();
     // An agent needs neither targets nor configuration; coordinators send it contacts and the leader only.
-    pollCoordinators({});
+    pollCoordinators({}, seat());
 }
 
 void agent_node::watch()
@@ -295,9 +426,9 @@
     m_reportedAt = m_time->now();
     m_reportDue = false;
     ++m_reports;
-    const auto leader = m_links.leader(coordinatorSilence, m_reportedAt);
-    if (!leader.empty()) {
-        m_messenger->send(leader, forward::rank_report { *m_status });
+    const auto &control = m_control.latest();
+    if (!control.relay.empty()) {
+        deliver(control.relay, group::rank_report { control.fence, *m_status, group::packCounts(m_status->chosen) });
     }
 }
 
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -37,36 +37,13 @@
     return logFor(part::agreed);
 }
 
-/** Every other voter has answered the leader in its term; an earlier leader among them has then stepped down. */
-bool votersFollow(const consensus::raft_status &log)
-{
-    return std::all_of(log.members.begin(), log.members.end(), [&log](const auto &one) {
-        return one.who.role != consensus::member_role::voter || one.who.identity == log.identity
-            || one.match != log_index {};
-    });
-}
-
 } // namespace
 
 coordinator_node::coordinator_node(node_context context)
     : node_base(std::move(context))
-    , m_maps(mapParts())
 {
 }
 
-map_operator::parts coordinator_node::mapParts()
-{
-    map_operator::parts wiring;
-    wiring.eventLoop = m_loop;
-    wiring.time = m_time;
-    wiring.language = m_dialect;
-    wiring.incarnation = m_incarnation;
-    wiring.send
-        = [this](const peer_address &to, forward::rank_command command) { m_messenger->send(to, std::move(command)); };
-    wiring.onEnginesChanged = [this] { publish(); };
-    return wiring;
-}
-
 expected<void> coordinator_node::openLog()
 {
     control_settings own;
@@ -137,9 +114,13 @@
     }
     page.gauge("figcleat_loop_delay_seconds", "Longest delay of the event loop in the last second.", {},
                std::chrono::duration<double>(m_lastWindowDelay).count());
-    page.counter("figcleat_rank_reports_received_total", "Reports of ranks that came to this coordinator.", {},
-                 m_rankReports);
-    m_maps.writeMetrics(page);
+    for (const auto &one : m_leases.groups(now())) {
+        const std::string group = fmt::format("controller=\"{}\",group=\"{}\"", one.controller.value, one.group.value);
+        page.gauge("figcleat_group_controlled", "1 while a controller of the group prolongs its control.", group,
+                   one.isControlled ? 1 : 0);
+        page.gauge("figcleat_group_fence", "Fence of the control of the group.", group,
+                   static_cast<double>(one.fence.value));
+    }
 }
 
 void coordinator_node::drain()
@@ -329,18 +310,12 @@
 
 void coordinator_node::receive(const envelope &received)
 {
+    ++m_messages;
     std::visit(overloaded {
                    [&](const consensus::raft_message &message) { m_control->receive(received.from, message); },
                    [&](const forward::node_poll &poll) { onPoll(received, poll); },
                    [&](const forward::node_update &update) { onUpdate(received, update); },
-                   [&](const forward::rank_report &report) {
-                       ++m_rankReports;
-                       if (now() - m_lastTick > suspendedPause) {
-                           tick();
-                       }
-                       m_maps.receive(received.from, report);
-                   },
-                   [&](const forward::rank_result &result) { m_maps.receive(result); },
+                   [&](const forward::control_renewal &renewal) { onRenewal(received, renewal); },
                    [](const auto &) {},
                },
                received.message);
@@ -367,9 +342,64 @@
     if (isNew) {
         collectContacts();
     }
+    for (const auto &seat : poll.seat) {
+        m_leases.onSeat(received.from, poll.dataCentre, seat, now());
+    }
     update(received.from, who);
 }
 
+void coordinator_node::onRenewal(const envelope &received, const forward::control_renewal &renewal)
+{
+    if (now() - m_lastTick > suspendedPause) {
+        tick();
+    }
+    const auto &request = renewal.request;
+    const auto grant = m_leases.onRequest(received.from, request, now());
+    if (!m_leadsInTerm || grant.fence == fence_number {}) {
+        return;
+    }
+    if (request.fence == fence_number {}) {
+        logger()->info("event=control group={} fence={} controller={}", grant.group.value, grant.fence.value,
+                       received.from.value);
+    }
+    m_messenger->send(received.from, grant);
+    const bool knewEngines = knowsEngines();
+    const auto known = m_engines.find(grant.group);
+    if (request.fence != fence_number {} && (known == m_engines.end() || known->second != renewal.engines)) {
+        m_engines[grant.group] = renewal.engines;
+        publish();
+    } else if (knewEngines != knowsEngines()) {
+        publish();
+    }
+}
+
+bool coordinator_node::knowsEngines() const
+{
+    if (!m_leadsInTerm) {
+        return false;
+    }
+    const auto groups = m_leases.groups(now());
+    return now() - m_leadsSince >= group::control_leases::leaseTime
+        || std::all_of(groups.begin(), groups.end(), [this](const auto &one) { return m_engines.contains(one.group); });
+}
+
+void coordinator_node::controlGroups()
+{
+    const auto log = m_control->status();
+    const bool leads = log.role == consensus::raft_role::leader;
+    const auto term = leads ? std::optional(log.term.value) : std::nullopt;
+    if (term != m_leadsInTerm) {
+        m_leadsInTerm = term;
+        m_leadsSince = now();
+        m_engines.clear();
+    }
+    m_leases.setTerm(term, now());
+    for (const auto &one : m_leases.tick(now())) {
+        logger()->info("event=control_offered group={} to={}", one.what.group.value, one.to.value);
+        m_messenger->send(one.to, one.what);
+    }
+}
+
 void coordinator_node::update(const peer_address &to, subscriber &who)
 {
     const auto filter = who.role == forward::node_role::coordinator ? forward::change_filter::touched
@@ -390,9 +420,9 @@
     if (who.contactsChecksum != known.checksum) {
         message.contacts.push_back(known.contacts);
     }
-    message.knowsEngines = isFront && m_maps.mayOrder();
-    if (message.knowsEngines) {
-        message.engines = m_maps.engines();
+    message.knowsEngines = isFront && knowsEngines();
+    for (const auto &entry : message.knowsEngines ? m_engines : decltype(m_engines) {}) {
+        message.engines.insert(message.engines.end(), entry.second.begin(), entry.second.end());
     }
     const auto log = m_control->status();
     message.leader = log.leader.value_or(peer_address {});
@@ -431,7 +461,7 @@
             models.emplace(one.name, *one.groups);
         }
     }
-    m_maps.setModels(std::move(models));
+    m_leases.setModels(std::move(models));
 }
 
 void coordinator_node::publish()
@@ -486,12 +516,12 @@
         return;
     }
     if (m_longestDelay >= notableDelay) {
-        logger()->warn("event=loop_late longest_ms={} rank_reports={}",
+        logger()->warn("event=loop_late longest_ms={} messages={}",
                        std::chrono::duration_cast<std::chrono::milliseconds>(m_longestDelay).count(),
-                       m_rankReports - m_reportsAtWindowStart);
+                       m_messages - m_messagesAtWindowStart);
     }
     m_lastWindowDelay = std::exchange(m_longestDelay, {});
-    m_reportsAtWindowStart = m_rankReports;
+    m_messagesAtWindowStart = m_messages;
     m_delayWindowStart = now;
 }
 
@@ -501,10 +531,7 @@
     m_lastTick = m_time->now();
     m_messenger->tick();
     m_control->tick();
-    const auto log = m_control->status();
-    const bool leads = log.role == consensus::raft_role::leader;
-    m_maps.setTerm(leads ? std::optional(log.term.value) : std::nullopt, leads && votersFollow(log));
-    m_maps.tick();
+    controlGroups();
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
     }
--- a/src/daemon/loop.cc
+++ b/src/daemon/loop.cc
@@ -47,9 +47,7 @@
     auto added = std::make_unique<registered>();
     added->what = std::move(what);
     added->handle = event_new(m_base, -1, EV_PERSIST, runTask, &added->what);
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(period).count();
-    const timeval interval { micros / 1'000'000, static_cast<suseconds_t>(micros % 1'000'000) };
-    event_add(added->handle, &interval);
+    triggerAfter(added->handle, period);
     m_registered.push_back(std::move(added));
 }
 
@@ -76,6 +74,13 @@
     event_active(later, EV_TIMEOUT, 0);
 }
 
+void loop::triggerAfter(event *later, duration delay)
+{
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(delay).count();
+    const timeval interval { micros / 1'000'000, static_cast<suseconds_t>(micros % 1'000'000) };
+    event_add(later, &interval);
+}
+
 void loop::run()
 {
     event_base_dispatch(m_base);
--- a/src/group/choice-watch.cc
+++ b/src/group/choice-watch.cc
@@ -1,6 +1,7 @@
 #include "figcleat/group/choice-watch.h"
 
 #include "figcleat/group/popularity.h"
+#include "figcleat/group/report-relay.h"
 
 #include <numeric>
 
@@ -15,20 +16,6 @@
 /** With fewer choices chance is larger than its estimate. */
 constexpr double leastChoicesPerExpert = 1;
 
-void addCounts(expert_lists &sums, const expert_lists &counts)
-{
-    if (sums.size() != counts.size()) {
-        sums = counts;
-        return;
-    }
-    for (std::size_t set = 0; set < counts.size(); ++set) {
-        sums[set].resize(counts[set].size(), 0);
-        for (std::size_t expert = 0; expert < counts[set].size(); ++expert) {
-            sums[set][expert] += counts[set][expert];
-        }
-    }
-}
-
 } // namespace
 
 bool choice_watch::add(const expert_lists &chosen)
--- /dev/null
+++ b/src/group/control-leases.cc
@@ -0,0 +1,152 @@
+#include "figcleat/group/control-leases.h"
+
+#include <algorithm>
+
+namespace figcleat::group
+{
+
+namespace
+{
+
+constexpr std::size_t maxGroups = 256;
+/** Agents poll every second; one that has missed two polls may be lost. */
+constexpr duration seatSilence = std::chrono::milliseconds(2500);
+/** An invited agent answers within one round trip. */
+constexpr duration invitationTime = std::chrono::milliseconds(200);
+constexpr std::uint64_t appointmentsPerTerm = 10'000;
+
+} // namespace
+
+void control_leases::setTerm(std::optional<std::uint64_t> term, time_point now)
+{
+    if (term != m_term) {
+        m_term = term;
+        m_leadsSince = now;
+        m_appointments = 0;
+        m_groups.clear();
+    }
+}
+
+void control_leases::setModels(std::map<service_id, group_model> models)
+{
+    m_models = std::move(models);
+}
+
+void control_leases::onSeat(const peer_address &agent, const data_centre_id &dataCentre, const group_seat &seat,
+                            time_point now)
+{
+    const bool isKnown = m_groups.contains(seat.group) || m_groups.size() < maxGroups;
+    if (!m_term || !isKnown || seat.rank >= seat.ranks) {
+        return;
+    }
+    auto &record = m_groups[seat.group];
+    record.service = seat.service;
+    const auto gone = std::erase_if(record.members, [&seat](const auto &entry) { return entry.first >= seat.ranks; });
+    auto &one = record.members[seat.rank];
+    const rank_contact contact { seat.rank, agent, dataCentre, seat.engine };
+    if (gone > 0 || one.contact != contact) {
+        one.contact = contact;
+        ++record.contactsVersion;
+    }
+    one.heard = now;
+}
+
+bool control_leases::isControlled(const group_record &record, time_point now) const
+{
+    // The controller that an earlier leader appointed gets time to find this one.
+    return now - std::max(record.prolongedAt, m_leadsSince) < replaceAfter;
+}
+
+bool control_leases::mayProlong(const group_record &record, const peer_address &from, fence_number fence,
+                                time_point now) const
+{
+    if (fence == fence_number {} || fence < record.fence) {
+        return false;
+    }
+    // A higher fence belongs to an appointment that this leader has not seen.
+    return record.controller == from || fence > record.fence || !isControlled(record, now);
+}
+
+fence_number control_leases::nextFence()
+{
+    m_appointments = std::min(m_appointments + 1, appointmentsPerTerm - 1);
+    return { *m_term * appointmentsPerTerm + m_appointments };
+}
+
+control_grant control_leases::onRequest(const peer_address &from, const control_request &request, time_point now)
+{
+    control_grant answer;
+    answer.group = request.seat.group;
+    answer.sentAt = request.sentAt;
+    const auto found = m_groups.find(request.seat.group);
+    const auto model = m_models.find(request.seat.service);
+    if (!m_term || found == m_groups.end() || model == m_models.end()) {
+        return answer;
+    }
+    auto &record = found->second;
+    const bool isAppointed = request.fence == fence_number {} && record.invited == from && !isControlled(record, now);
+    if (isAppointed) {
+        record.fence = std::max(nextFence(), record.fence.next());
+    } else if (mayProlong(record, from, request.fence, now)) {
+        record.fence = request.fence;
+    } else {
+        return answer;
+    }
+    record.invited = {};
+    record.controller = from;
+    record.prolongedAt = now;
+    answer.fence = record.fence;
+    answer.milliseconds
+        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(leaseTime).count());
+    answer.model = model->second;
+    // Versions of different leaders must differ, as the contacts may.
+    answer.contactsVersion = (*m_term << 32U) + record.contactsVersion;
+    if (answer.contactsVersion != request.contactsVersion) {
+        for (const auto &[rank, one] : record.members) {
+            answer.contacts.push_back(one.contact);
+        }
+    }
+    return answer;
+}
+
+const control_leases::member *control_leases::nextCandidate(const group_record &record, time_point now) const
+{
+    const auto isHeard = [now](const auto &entry) { return now - entry.second.heard < seatSilence; };
+    auto found = std::find_if(record.members.upper_bound(record.invitedRank), record.members.end(), isHeard);
+    if (found == record.members.end()) {
+        found = std::find_if(record.members.begin(), record.members.end(), isHeard);
+    }
+    return found == record.members.end() ? nullptr : &found->second;
+}
+
+std::vector<control_leases::invitation> control_leases::tick(time_point now)
+{
+    std::vector<invitation> sent;
+    if (!m_term) {
+        return sent;
+    }
+    for (auto &[group, record] : m_groups) {
+        const bool isDue = now - record.invitedAt >= invitationTime && m_models.contains(record.service);
+        const auto *candidate = isControlled(record, now) || !isDue ? nullptr : nextCandidate(record, now);
+        if (candidate == nullptr) {
+            continue;
+        }
+        record.invited = candidate->contact.agent;
+        record.invitedRank = candidate->contact.rank;
+        record.invitedAt = now;
+        sent.push_back({ record.invited, { group } });
+    }
+    return sent;
+}
+
+std::vector<control_leases::group_status> control_leases::groups(time_point now) const
+{
+    std::vector<group_status> all;
+    for (const auto &[group, record] : m_groups) {
+        const bool controlled = record.controller != peer_address {} && isControlled(record, now);
+        all.push_back({ group, record.fence, record.controller, controlled });
+    }
+    return all;
+}
+
+} // namespace figcleat::group
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -26,6 +26,8 @@
 constexpr duration freshness = std::chrono::milliseconds(700);
 /** An order is sent again after this time; orders and their answers stay on one machine and one network. */
 constexpr duration orderTimeout = std::chrono::milliseconds(90);
+/** The same for an order with a map of about 6 KB for each rank, which two links of 6 Mbit/s carry in 0.15 s. */
+constexpr duration mapOrderTimeout = std::chrono::milliseconds(400);
 /** Orders through an agent before the engine is called itself, which costs more. */
 constexpr std::uint32_t agentTries = 1;
 /** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
@@ -144,6 +146,12 @@
     advance();
 }
 
+void map_controller::handle(const choices_counted &event)
+{
+    m_settings.demand->observe(event.chosen, m_now);
+    advance();
+}
+
 void map_controller::learnStepTime(step_number step)
 {
     if (step <= m_furthestStep) {
@@ -340,14 +348,49 @@
     if (m_phase == phase::idle || m_phase == phase::switching) {
         return;
     }
+    std::vector<rank_number> first;
     for (auto &[number, rank] : m_ranks) {
-        const bool isDue = rank.sentAt == time_point {} || m_now - rank.sentAt >= orderTimeout;
+        const bool isDue = rank.sentAt == time_point {} || m_now - rank.sentAt >= answerTimeout();
         const bool isLoading = m_phase == phase::preparing && rank.confirmed;
         const bool hasNothingToDisarm = m_phase == phase::disarming && rank.status.armed == map_version {};
-        if (takesPart(number) && !isSettled(rank) && isDue && !isLoading && !hasNothingToDisarm) {
+        if (!takesPart(number) || isSettled(rank) || !isDue || isLoading || hasNothingToDisarm) {
+            continue;
+        }
+        // A map for many ranks would fill the link of the controller, also when it is sent again.
+        const bool isLong = m_phase == phase::preparing || m_phase == phase::voiding;
+        if ((rank.sends == 0 && !rank.agentSilent && m_phase != phase::disarming) || isLong) {
+            first.push_back(number);
+        } else {
             send(number, rank, orderFor(rank));
         }
     }
+    spread(first);
+}
+
+duration map_controller::answerTimeout() const
+{
+    return m_phase == phase::preparing || m_phase == phase::voiding ? mapOrderTimeout : orderTimeout;
+}
+
+void map_controller::spread(const std::vector<rank_number> &to)
+{
+    if (to.size() == 1) {
+        auto &rank = m_ranks.at(to.front());
+        send(to.front(), rank, orderFor(rank));
+    }
+    if (to.size() <= 1) {
+        return;
+    }
+    spread_order sent { orderFor(m_ranks.at(to.front())), {} };
+    for (const auto number : to) {
+        auto &rank = m_ranks.at(number);
+        m_lastOrder = m_lastOrder.next();
+        rank.pending = m_lastOrder;
+        rank.sentAt = m_now;
+        rank.sends += 1;
+        sent.to.push_back({ number, {}, m_lastOrder, rank.status.orders });
+    }
+    m_actions.emplace_back(std::move(sent));
 }
 
 void map_controller::releaseStrayHolds()
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -1,3 +1,4 @@
+#include "engine-group.h"
 #include "figcleat/group/map-controller.h"
 
 #include <catch2/catch.hpp>
@@ -6,201 +7,12 @@
 
 using namespace figcleat;
 using namespace figcleat::group;
+using namespace figcleat::group::testing;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-constexpr rank_number ranks = 4;
-constexpr std::size_t experts = 8;
-constexpr std::size_t sets = 2;
-
-group_model makeModel()
-{
-    group_model model;
-    model.sets = sets;
-    model.experts = experts;
-    model.placements = 4;
-    model.spare = 2;
-    model.bytesPerExpert = { 1000 };
-    model.loadBytesPerSecond = { 100'000 };
-    model.expertShare = 0.85;
-    return model;
-}
-
-/** A rank as the platform describes it: it loads, arms and holds on orders, some of them carried out late. */
-struct fake_rank
-{
-    engine_rank_status status;
-    std::map<std::uint64_t, expert_lists> maps;
-    std::uint64_t highestVersion = 0;
-    step_number armedStep;
-    /** Calls of `load` that loading takes. */
-    int loadingTicks = 0;
-    int loadingLeft = 0;
-
-    /** Loads on; a map that has been replaced is never prepared. */
-    void load()
-    {
-        if (loadingLeft > 0 && --loadingLeft == 0) {
-            status.prepared = { highestVersion };
-        }
-    }
-
-    [[nodiscard]] order_result carryOut(const rank_order &order, step_number groupStep)
-    {
-        if (order.epoch != status.epoch || order.expectedOrders != status.orders) {
-            return order_result::refused;
-        }
-        switch (order.operation) {
-        case rank_operation::prepare:
-            if (order.version.value <= highestVersion || status.armed.value != 0) {
-                return order_result::refused;
-            }
-            highestVersion = order.version.value;
-            for (const auto &set : order.map) {
-                maps[highestVersion].push_back(set[status.rank]);
-            }
-            status.prepared = loadingTicks == 0 ? order.version : map_version {};
-            loadingLeft = loadingTicks;
-            ++status.orders;
-            return order_result::accepted;
-        case rank_operation::arm:
-            if (status.prepared != order.version || groupStep >= order.step) {
-                return order_result::refused;
-            }
-            status.armed = order.version;
-            armedStep = order.step;
-            return order_result::accepted;
-        case rank_operation::disarm:
-            if (status.armed != order.version) {
-                return order_result::refused;
-            }
-            status.armed = {};
-            return order_result::accepted;
-        case rank_operation::hold:
-            if (groupStep >= order.step || status.held.value != 0) {
-                return order_result::refused;
-            }
-            status.held = order.step;
-            return order_result::accepted;
-        case rank_operation::go:
-            if (status.held != order.step) {
-                return order_result::refused;
-            }
-            status.held = {};
-            return order_result::accepted;
-        }
-        return order_result::refused;
-    }
-
-    void begin(step_number step)
-    {
-        status.step = step;
-        if (status.armed.value != 0 && step >= armedStep) {
-            status.map = status.armed;
-            status.experts = maps[status.map.value];
-            status.armed = {};
-            status.prepared = {};
-        }
-    }
-};
-
-/** A group of ranks in lock-step, whose first experts are in demand. */
-class fake_group
-{
-public:
-    explicit fake_group(std::uint64_t seed)
-        : m_random(seed)
-    {
-        for (rank_number rank = 0; rank < ranks; ++rank) {
-            fake_rank one;
-            one.status.group = { "g" };
-            one.status.epoch = { 1 };
-            one.status.rank = rank;
-            one.status.ranks = ranks;
-            one.status.isOpen = true;
-            one.status.chosen = expert_lists(sets, std::vector<std::uint32_t>(experts, 0));
-            for (std::size_t set = 0; set < sets; ++set) {
-                one.status.experts.push_back({ rank, static_cast<std::uint32_t>(rank + ranks) });
-            }
-            m_ranks.push_back(std::move(one));
-        }
-    }
-
-    /** Begins the next step if no rank holds it; every rank must then use one map. */
-    void beginStep()
-    {
-        const step_number next = m_step.next();
-        for (const auto &one : m_ranks) {
-            if (one.status.held.value != 0 && next >= one.status.held) {
-                return;
-            }
-        }
-        m_step = next;
-        for (auto &one : m_ranks) {
-            one.begin(next);
-            for (auto &set : one.status.chosen) {
-                set[m_hot] += 100;
-                set[m_hot + 1] += 10;
-            }
-        }
-        for (const auto &one : m_ranks) {
-            REQUIRE(one.status.map == m_ranks.front().status.map);
-        }
-    }
-
-    void shiftDemand()
-    {
-        m_hot = (m_hot + 3) % (experts - 1);
-    }
-
-    [[nodiscard]] std::vector<fake_rank> &members()
-    {
-        return m_ranks;
-    }
-
-    [[nodiscard]] step_number currentStep() const
-    {
-        return m_step;
-    }
-
-    [[nodiscard]] bool isHeld() const
-    {
-        return std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto &one) { return one.status.held.value != 0; });
-    }
-
-    /** Load of the busiest rank over the mean with the demand of now. */
-    [[nodiscard]] double skew() const
-    {
-        std::vector<double> loads(ranks, 0);
-        for (const auto &[expert, weight] : { std::pair { m_hot, 100.0 }, std::pair { m_hot + 1, 10.0 } }) {
-            std::vector<rank_number> holders;
-            for (const auto &one : m_ranks) {
-                const auto &held = one.status.experts.front();
-                if (std::find(held.begin(), held.end(), expert) != held.end()) {
-                    holders.push_back(one.status.rank);
-                }
-            }
-            for (const auto rank : holders) {
-                loads[rank] += weight / static_cast<double>(holders.size());
-            }
-        }
-        return *std::max_element(loads.begin(), loads.end()) * ranks / 110.0;
-    }
-
-    std::mt19937_64 &random()
-    {
-        return m_random;
-    }
-
-private:
-    std::mt19937_64 m_random;
-    std::vector<fake_rank> m_ranks;
-    step_number m_step;
-    std::size_t m_hot = 0;
-};
-
 /** Runs controllers against a group; a share of the orders gets no answer and is carried out late. */
 class world
 {
@@ -326,33 +138,43 @@
     void act(const std::vector<map_action> &actions)
     {
         for (const auto &action : actions) {
-            const auto *sent = std::get_if<send_order>(&action);
-            if (sent == nullptr) {
-                continue;
-            }
-            if (m_frozenAgent == sent->rank && !sent->directly) {
-                continue;
-            }
-            const bool isHold = sent->order.operation == rank_operation::hold;
-            if (isHold) {
-                ++m_holds;
-                m_holdDistance += sent->order.step.value - m_group.currentStep().value;
-            }
-            if (isHold && m_losesHolds == sent->rank && !sent->directly) {
-                continue;
-            }
-            auto &rank = m_group.members()[sent->rank];
-            if (std::uniform_real_distribution<double>(0, 1)(m_group.random()) < m_lateShare) {
-                const auto delay = std::chrono::milliseconds(m_group.random()() % 4000);
-                m_late.push_back({ sent->rank, sent->order, m_now + delay });
-                m_answers.push_back(order_answered { sent->rank, { sent->order.id, order_result::unknown } });
-                continue;
+            if (const auto *sent = std::get_if<send_order>(&action)) {
+                pass(*sent);
+            } else if (const auto *spread = std::get_if<spread_order>(&action)) {
+                for (const auto &to : spread->to) {
+                    send_order one { to.rank, spread->order, false };
+                    one.order.id = to.id;
+                    one.order.expectedOrders = to.expectedOrders;
+                    pass(one);
+                }
             }
-            const auto result = rank.carryOut(sent->order, m_group.currentStep());
-            m_answers.push_back(order_answered { sent->rank, { sent->order.id, result } });
         }
     }
 
+    void pass(const send_order &sent)
+    {
+        if (m_frozenAgent == sent.rank && !sent.directly) {
+            return;
+        }
+        const bool isHold = sent.order.operation == rank_operation::hold;
+        if (isHold) {
+            ++m_holds;
+            m_holdDistance += sent.order.step.value - m_group.currentStep().value;
+        }
+        if (isHold && m_losesHolds == sent.rank && !sent.directly) {
+            return;
+        }
+        auto &rank = m_group.members()[sent.rank];
+        if (std::uniform_real_distribution<double>(0, 1)(m_group.random()) < m_lateShare) {
+            const auto delay = std::chrono::milliseconds(m_group.random()() % 4000);
+            m_late.push_back({ sent.rank, sent.order, m_now + delay });
+            m_answers.push_back(order_answered { sent.rank, { sent.order.id, order_result::unknown } });
+            return;
+        }
+        const auto result = rank.carryOut(sent.order, m_group.currentStep());
+        m_answers.push_back(order_answered { sent.rank, { sent.order.id, result } });
+    }
+
     void deliverLate()
     {
         std::erase_if(m_late, [this](const late_order &late) {
