Never arm a step whose release is on its way, and disarm again what was armed late

Causes: (1) a hold that was given up was adopted again when a report showed it, though its release had been sent and was still under way; it was carried out while ranks were being armed. (2) An order to arm that was carried out after the one to disarm left the rank armed, and an armed rank refuses the map that makes earlier orders void.

A held step is now adopted only if no release of it was sent, and a rank that is found armed is disarmed again.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -140,6 +140,8 @@
         /** Step of a hold that was given up; it is released until the rank answers. */
         step_number strayHold {};
         order_id strayRelease {};
+        /** Highest step whose release was sent to this rank. */
+        step_number released {};
         time_point strayReleasedAt {};
     };
 
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -214,10 +214,16 @@
 void map_controller::reconsider(rank_state &rank)
 {
     rank.sentAt = {};
+    if (m_phase == phase::voiding && rank.status.armed != map_version {}) {
+        // An earlier order to arm was carried out after the one to disarm.
+        enter(phase::disarming);
+        return;
+    }
     if (m_phase != phase::holding || isSettled(rank)) {
         return;
     }
-    if (rank.status.held != step_number {}) {
+    // A release that was sent for an earlier hold may be carried out late, while ranks are being armed.
+    if (rank.status.held > rank.released) {
         m_step = rank.status.held;
         return;
     }
@@ -340,6 +346,9 @@
     to.agentSilent = to.agentSilent || to.sends >= agentTries;
     const bool directly = isUrgent && to.agentSilent;
     to.sends += 1;
+    if (order.operation == rank_operation::go) {
+        to.released = std::max(to.released, order.step);
+    }
     m_actions.emplace_back(send_order { rank, std::move(order), directly });
 }
 
@@ -407,6 +416,7 @@
         m_lastOrder = m_lastOrder.next();
         rank.strayRelease = m_lastOrder;
         rank.strayReleasedAt = m_now;
+        rank.released = std::max(rank.released, rank.strayHold);
         rank_order order;
         order.id = m_lastOrder;
         order.operation = rank_operation::go;
