Send a configuration from coordinators of the front's own data centre

Cause: each of six coordinators sent each change whole to each of 40 fronts, and read it in full to find the models of groups, which only the leader needs. Ruled out: the control of groups, which no longer runs there.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -2,6 +2,7 @@
 
 #include "figcleat/daemon/control-node.h"
 #include "figcleat/daemon/node-base.h"
+#include "figcleat/forward/configuration-feed.h"
 #include "figcleat/group/control-leases.h"
 #include "figcleat/http/server.h"
 
@@ -33,7 +34,7 @@
         /** What the node has, as it said or as it was sent since. */
         std::uint64_t directoryVersion = 0;
         std::uint64_t contactsChecksum = 0;
-        revision_number revision;
+        forward::configuration_feed configuration;
     };
 
     /** Contacts as they are sent to nodes of one kind. */
@@ -79,7 +80,8 @@
     void collectContacts();
     /** Tells the log of a registration that is refused for its address. */
     bool merge(const forward::registration &what, time_point now);
-    void applyRoutes();
+    /** Takes the models of the services with groups from the configuration, which takes long to read. */
+    void readModels();
     void publish();
     void update(const peer_address &to, subscriber &who);
     void pollOthers();
@@ -97,6 +99,9 @@
     std::map<group_id, std::vector<forward::engine_condition>> m_engines;
     std::optional<std::uint64_t> m_leadsInTerm;
     time_point m_leadsSince {};
+    /** Revision of the configuration from which the models were read. */
+    revision_number m_modelsRevision;
+    time_point m_modelsReadAt {};
     contact_list m_frontContacts;
     contact_list m_otherContacts;
     std::map<result_code, std::uint64_t> m_commands;
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -29,6 +29,10 @@
 /** A loop that is this late has more messages to handle than its processor share allows. */
 constexpr duration notableDelay = 2 * tickPeriod;
 constexpr duration delayWindow = std::chrono::seconds(1);
+/** A leader that has not heard the controllers of all groups for this long tells the fronts what it has. */
+constexpr duration longestUnknown = std::chrono::seconds(2);
+/** Models change seldom, and a configuration of many routes takes 0.1 s of a coordinator's share to read. */
+constexpr duration modelsPeriod = std::chrono::seconds(1);
 /** Fronts that are named to fronts, about 35 bytes each. */
 constexpr std::size_t maxFrontsNamed = 1024;
 
@@ -59,7 +63,6 @@
     wiring.onCommitted = [this](const agreed::configuration_in_force &committed) {
         logger()->info("event=configuration revision={} version={} data_centres_out={}", committed.revision.value,
                        committed.number, committed.dataCentresOut.size());
-        applyRoutes();
         publish();
     };
     auto control = control_node::open(own, m_self, m_random, std::move(wiring));
@@ -333,12 +336,12 @@
     const bool isSameLife = poll.coordinator == m_incarnation;
     const bool isNew = !m_subscribers.contains(received.from);
     auto &who = m_subscribers[received.from];
-    who = { poll.role,
-            poll.dataCentre,
-            m_time->now(),
-            isSameLife ? poll.directoryVersion : 0,
-            isSameLife ? poll.contactsChecksum : 0,
-            poll.revision };
+    who.role = poll.role;
+    who.dataCentre = poll.dataCentre;
+    who.heard = m_time->now();
+    who.directoryVersion = isSameLife ? poll.directoryVersion : 0;
+    who.contactsChecksum = isSameLife ? poll.contactsChecksum : 0;
+    who.configuration.onPoll(poll.revision, m_control->state().configuration().revision, who.heard);
     if (isNew) {
         collectContacts();
     }
@@ -379,7 +382,7 @@
         return false;
     }
     const auto groups = m_leases.groups(now());
-    return now() - m_leadsSince >= group::control_leases::leaseTime
+    return now() - m_leadsSince >= longestUnknown
         || std::all_of(groups.begin(), groups.end(), [this](const auto &one) { return m_engines.contains(one.group); });
 }
 
@@ -394,6 +397,9 @@
         m_engines.clear();
     }
     m_leases.setTerm(term, now());
+    if (leads) {
+        readModels();
+    }
     for (const auto &one : m_leases.tick(now())) {
         logger()->info("event=control_offered group={} to={}", one.what.group.value, one.to.value);
         m_messenger->send(one.to, one.what);
@@ -412,7 +418,8 @@
         message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
     }
     const auto &held = m_control->state().configuration();
-    if (isFront && held.revision > who.revision) {
+    const bool isNear = who.dataCentre == m_settings.dataCentre;
+    if (isFront && who.configuration.takeDue(isNear, held.revision, now())) {
         message.configuration.push_back(held);
     }
     const auto &known = isFront ? m_frontContacts : m_otherContacts;
@@ -429,7 +436,6 @@
     message.term = log.term.value;
     who.directoryVersion = message.directoryVersion;
     who.contactsChecksum = known.checksum;
-    who.revision = std::max(who.revision, held.revision);
     m_messenger->send(to, std::move(message));
 }
 
@@ -448,9 +454,16 @@
     m_frontContacts = { all, checksum(encode(all)) };
 }
 
-void coordinator_node::applyRoutes()
+void coordinator_node::readModels()
 {
-    const auto routes = m_dialect->decodeRoutes(m_control->state().configuration().content);
+    const auto &held = m_control->state().configuration();
+    const bool isDue = now() - m_modelsReadAt >= modelsPeriod || m_modelsRevision == revision_number {};
+    if (held.revision == m_modelsRevision || !isDue) {
+        return;
+    }
+    m_modelsRevision = held.revision;
+    m_modelsReadAt = now();
+    const auto routes = m_dialect->decodeRoutes(held.content);
     if (!routes) {
         logger()->error("event=configuration_unreadable reason={}", routes.error().detail);
         return;
