--- a/include/figcleat/daemon/group-control.h
+++ b/include/figcleat/daemon/group-control.h
@@ -16,6 +16,30 @@
 namespace figcleat
 {
 
+/** Agent of a rank, as its controller knows it. */
+struct rank_link
+{
+    group::rank_contact contact;
+    /** Relay that was announced last; empty if none was. */
+    peer_address relay;
+    time_point firstAnnounced {};
+    time_point announced {};
+    time_point heard {};
+};
+
+/** The control of a group, from its grant to its end. */
+struct control_tenure
+{
+    group::group_seat seat;
+    fence_number fence;
+    time_point until {};
+    time_point grantedAt {};
+    time_point requestedAt {};
+    std::uint64_t contactsVersion = 0;
+    std::map<group::rank_number, rank_link> ranks;
+    std::unique_ptr<group::map_controller> controller;
+};
+
 /**
  * Controls the expert map of the group to which the rank beside this agent belongs, while the leader of the replicated
  * log has appointed this agent.
@@ -54,28 +78,6 @@
     void writeMetrics(report::metrics_text &page) const;
 
 private:
-    struct rank_link
-    {
-        group::rank_contact contact;
-        /** Relay that was announced last; empty if none was. */
-        peer_address relay;
-        time_point firstAnnounced {};
-        time_point announced {};
-        time_point heard {};
-    };
-
-    struct tenure
-    {
-        group::group_seat seat;
-        fence_number fence;
-        time_point until {};
-        time_point grantedAt {};
-        time_point requestedAt {};
-        std::uint64_t contactsVersion = 0;
-        std::map<group::rank_number, rank_link> ranks;
-        std::unique_ptr<group::map_controller> controller;
-    };
-
     struct direct_order
     {
         group::rank_number rank = 0;
@@ -103,7 +105,7 @@
     void reviewEngines();
 
     parts m_parts;
-    std::optional<tenure> m_tenure;
+    std::optional<control_tenure> m_tenure;
     std::vector<forward::engine_condition> m_engines;
     http_client_pool m_clients;
     std::map<attempt_id, direct_order> m_directOrders;
