--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -185,8 +185,8 @@
 TEST_CASE("every numeric setting may be a fraction", "[platform]")
 {
     // Guards against a process that does not start because a bound of its deployment is no whole number.
-    for (const std::string field : { "machines", "grace-s", "retry-budget-ratio", "retry-budget-slack",
-                                     "retry-window-s" }) {
+    for (const std::string field :
+         { "machines", "grace-s", "retry-budget-ratio", "retry-budget-slack", "retry-window-s" }) {
         INFO(field);
         const auto begin = settingsText.find(field + " = ");
         REQUIRE(begin != std::string::npos);
