Check the metrics of agents in platform-process-test too

The check was wrong in what it left out. It now starts an agent beside a stand-in engine, waits until the agent controls its group, and every family that the page names has to exist at one of the three processes. An agent tells the counters of orders from its start, as 0.

--- a/include/figcleat/daemon/agent-node.h
+++ b/include/figcleat/daemon/agent-node.h
@@ -102,7 +102,11 @@
     bool m_hasNews = false;
     group_control m_groupControl;
     std::uint64_t m_reports = 0;
-    std::map<group::order_result, std::uint64_t> m_orders;
+    std::map<group::order_result, std::uint64_t> m_orders {
+        { group::order_result::accepted, 0 },
+        { group::order_result::refused, 0 },
+        { group::order_result::unknown, 0 },
+    };
     std::uint64_t m_engineFailures = 0;
 };
 
--- a/test/platform-process-test.py
+++ b/test/platform-process-test.py
@@ -17,7 +17,7 @@
 
 BASE_PORT = 31000
 MAILBOX, CALLERS, READINESS, CONTROL, METRICS = (BASE_PORT + offset for offset in range(5))
-COORDINATOR, FRONT = "127.0.0.2", "127.0.0.3"
+COORDINATOR, FRONT, AGENT = "127.0.0.2", "127.0.0.3", "127.0.0.4"
 PAGE = (processes.ROOT / "docs/OPERATIONS.md").read_text()
 
 def route(name, service, kind, goal):
@@ -31,7 +31,10 @@
     "routes": [route("refused", "absent", "safe", 200), route("cut", "cutter", "unsafe", 200),
                route("late", "sleeper", "safe", 100)],
     "services": [{"name": name, "health-path": "/healthz", "max-conns": 100, "proto": "h1", "tls": False, "cold-s": 0.0,
-                  "cold-per-s": 0.0} for name in ("absent", "cutter", "sleeper")],
+                  "cold-per-s": 0.0} for name in ("absent", "cutter", "sleeper")]
+    + [{"name": "models", "health-path": "/healthz", "max-conns": 100, "proto": "h1", "tls": False, "cold-s": 0.0,
+        "cold-per-s": 0.0, "engine": {"sets": 1, "experts": 2, "placements": 2, "spare": 1, "expert-mb": 1.0,
+                                      "link-mbps": 1000.0, "expert-share": 0.85}}],
     "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000,
                "idle-timeout-ms": 15000},
     "tenants": [],
@@ -60,6 +63,36 @@
         pass
 
 
+class Engine(http.server.BaseHTTPRequestHandler):
+    """The only rank of a group."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        if self.path == "/-/report":
+            said = {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "open"}, "size": 1, "seq": 0, "step": 7,
+                    "map": 0, "pace": 1.0}
+        elif "lists" in self.path:
+            said = {"map": {"version": 0, "experts": [[0, 1]]}}
+        else:
+            said = {"step": 7, "epoch": 1, "counts": [[5, 3]]}
+        body = json.dumps(said).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+def serve(handler):
+    """Port on which the handler is served from now on."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server.server_port
+
+
 def call(ip, port, method, path, body="", headers=None):
     connection = http.client.HTTPConnection(ip, port, timeout=10)
     try:
@@ -78,13 +111,12 @@
         try:
             cls.start("coordinator", COORDINATOR)
             cls.start("front", FRONT)
+            cls.start("agent", AGENT, f'app = "127.0.0.1:{serve(Engine)}"\nservice = "models"\n')
             cls.operate("PUT", "/-/config", json.dumps(CONFIGURATION))
             for service in ("cutter", "sleeper"):
                 # Two targets cannot have one address, so each service has a port of its own.
-                server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Target)
-                threading.Thread(target=server.serve_forever, daemon=True).start()
                 cls.operate("PUT", f"/-/instances/i-{service}", json.dumps({
-                    "service": service, "addr": f"127.0.0.1:{server.server_port}", "zone": "north", "version": "v1",
+                    "service": service, "addr": f"127.0.0.1:{serve(Target)}", "zone": "north", "version": "v1",
                     "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": len(service)}))
             cls.wait_for("the front is ready", lambda: call(FRONT, READINESS, "GET", "/-/readyz")[0] == 200)
         except BaseException:
@@ -92,11 +124,11 @@
             raise
 
     @classmethod
-    def start(cls, role, ip, stdout=None):
+    def start(cls, role, ip, more="", stdout=None):
         settings = cls.folder / f"{role}.toml"
         data = cls.folder / f"{role}-data"
         data.mkdir(exist_ok=True)
-        settings.write_text(processes.node_settings(
+        settings.write_text(more + processes.node_settings(
             (MAILBOX, CALLERS, READINESS, CONTROL), ["north"], name=role, ip=ip, zone="north", folder=data, tolerated=0,
             seeds=f'"{COORDINATOR}:{CONTROL}"'))
         with open(cls.folder / f"{role}.log", "ab") as log:
@@ -188,10 +220,10 @@
             self.assertRegex(page, line)
         self.assertRegex(self.metrics(COORDINATOR), r"figcleat_log_leads 1")
         # Every family that the operators' page names exists, so that the page cannot differ from the program.
-        both = page + self.metrics(COORDINATOR)
-        for name in set(re.findall(r"`(figcleat_[a-z_]+)`", PAGE)):
-            if "rank" not in name and "map" not in name and "engine" not in name and "group" not in name:
-                self.assertIn(name, both)
+        self.wait_for("the agent controls its group",
+                      lambda: "\nfigcleat_controls_group 1\n" in self.metrics(AGENT))
+        families = set(re.findall(r"# TYPE (\w+)", page + self.metrics(COORDINATOR) + self.metrics(AGENT)))
+        self.assertEqual(set(re.findall(r"`(figcleat_[a-z_]+)`", PAGE)) - families, set())
 
     def test_5_settings_change_without_a_signal(self):
         settings = self.folder / "front.toml"
