Let the replicated log and renewals go before polls at a coordinator

The control of groups has moved away, but a coordinator still handled whatever its mailbox held in the order of arrival, and sent an update to each of about 100 nodes for each registration that changed.

Change: messages of the log are handled as they come. All others wait in coordinator_inbox, most important first (renewals, updates of coordinators, polls of coordinators, of fronts, of agents), a few a turn of the loop; a later poll replaces the one of the same sender, both are bounded, and what is shed is counted. Changes that come within 10 ms are published together.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figcleat/daemon/control-node.h"
+#include "figcleat/daemon/coordinator-inbox.h"
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/forward/configuration-feed.h"
 #include "figcleat/group/control-leases.h"
@@ -68,6 +69,9 @@
     [[nodiscard]] bool isConnected() const;
 
     void receive(const envelope &received) override;
+    /** Some of the messages that wait, so that those of the log and calls get their turn between them. */
+    void handleWaiting();
+    void handle(const envelope &received);
     void writeMetrics(report::metrics_text &page) const override;
     void onPoll(const envelope &received, const forward::node_poll &poll);
     void onUpdate(const envelope &received, const forward::node_update &update);
@@ -82,6 +86,8 @@
     bool merge(const forward::registration &what, time_point now);
     /** Takes the models of the services with groups from the configuration, which takes long to read. */
     void readModels();
+    /** Tells all nodes soon what has changed; changes that come together are told together. */
+    void publishSoon();
     void publish();
     void update(const peer_address &to, subscriber &who);
     void pollOthers();
@@ -93,6 +99,11 @@
     std::unique_ptr<http_server> m_server;
     forward::target_directory m_directory;
     std::map<peer_address, subscriber> m_subscribers;
+    coordinator_inbox m_inbox;
+    event *m_waitingDue = nullptr;
+    bool m_isWaitingScheduled = false;
+    event *m_publicationDue = nullptr;
+    bool m_isPublicationScheduled = false;
     std::map<exchange_id, http_request> m_open;
     group::control_leases m_leases;
     /** Engines that are slow or whose group is broken, as the controllers of the groups say. */
@@ -112,6 +123,7 @@
     time_point m_delayWindowStart {};
     std::uint64_t m_messages = 0;
     std::uint64_t m_messagesAtWindowStart = 0;
+    std::uint64_t m_shedAtWindowStart = 0;
     bool m_hasLeader = false;
     bool m_stopping = false;
 };
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -33,6 +33,12 @@
 constexpr duration longestUnknown = std::chrono::seconds(2);
 /** Models change seldom, and a configuration of many routes takes 0.1 s of a coordinator's share to read. */
 constexpr duration modelsPeriod = std::chrono::seconds(1);
+/** Messages of nodes that are handled before the log and callers get their turn; about 10 ms of a coordinator's share.
+ */
+constexpr int messagesPerTurn = 8;
+/** Changes that come within this time are told in one message to each node: a hundred targets start or leave at once.
+ */
+constexpr duration publicationDelay = std::chrono::milliseconds(10);
 /** Fronts that are named to fronts, about 35 bytes each. */
 constexpr std::size_t maxFrontsNamed = 1024;
 
@@ -63,7 +69,7 @@
     wiring.onCommitted = [this](const agreed::configuration_in_force &committed) {
         logger()->info("event=configuration revision={} version={} data_centres_out={}", committed.revision.value,
                        committed.number, committed.dataCentresOut.size());
-        publish();
+        publishSoon();
     };
     auto control = control_node::open(own, m_self, m_random, std::move(wiring));
     if (!control) {
@@ -75,6 +81,12 @@
 
 expected<void> coordinator_node::start()
 {
+    // Opening the log may already publish a configuration.
+    m_publicationDue = m_loop->deferred([this] {
+        m_isPublicationScheduled = false;
+        publish();
+    });
+    m_waitingDue = m_loop->deferred([this] { handleWaiting(); });
     auto opened = openMailbox().and_then([this] { return openMetrics(); }).and_then([this] { return openLog(); });
     if (!opened) {
         return opened;
@@ -111,6 +123,9 @@
                  m_directory.refusedClaims());
     page.gauge("figcleat_subscribers", "Nodes that poll this coordinator.", {},
                static_cast<double>(m_subscribers.size()));
+    page.counter("figcleat_messages_shed_total",
+                 "Messages of nodes that a later one replaced or that found no place while this coordinator was busy.",
+                 {}, m_inbox.shed());
     for (const auto &[code, count] : m_commands) {
         page.counter("figcleat_commands_total", "Operators' commands that were decided here.",
                      fmt::format("code=\"{}\",name=\"{}\"", static_cast<int>(code), describe(code).name), count);
@@ -197,7 +212,7 @@
         logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{}",
                        what.target.value, what.service.value, what.address, static_cast<int>(what.state),
                        what.coldLeftMs, what.order.startedMs, what.order.sequence);
-        publish();
+        publishSoon();
     }
     answer(exchange, {});
 }
@@ -221,7 +236,7 @@
     }
     if (m_directory.leave(call.target, call.startedMs, m_time->now())) {
         logger()->info("event=target target={} state=gone started={}", call.target.value, call.startedMs);
-        publish();
+        publishSoon();
     }
     answer(exchange, {});
 }
@@ -314,8 +329,34 @@
 void coordinator_node::receive(const envelope &received)
 {
     ++m_messages;
+    if (const auto *message = std::get_if<consensus::raft_message>(&received.message)) {
+        m_control->receive(received.from, *message);
+        return;
+    }
+    m_inbox.add(received);
+    if (!std::exchange(m_isWaitingScheduled, true)) {
+        loop::triggerAfter(m_waitingDue, {});
+    }
+}
+
+void coordinator_node::handleWaiting()
+{
+    for (int i = 0; i < messagesPerTurn; ++i) {
+        const auto next = m_inbox.take();
+        if (!next) {
+            break;
+        }
+        handle(*next);
+    }
+    m_isWaitingScheduled = !m_inbox.empty();
+    if (m_isWaitingScheduled) {
+        loop::triggerAfter(m_waitingDue, {});
+    }
+}
+
+void coordinator_node::handle(const envelope &received)
+{
     std::visit(overloaded {
-                   [&](const consensus::raft_message &message) { m_control->receive(received.from, message); },
                    [&](const forward::node_poll &poll) { onPoll(received, poll); },
                    [&](const forward::node_update &update) { onUpdate(received, update); },
                    [&](const forward::control_renewal &renewal) { onRenewal(received, renewal); },
@@ -370,9 +411,9 @@
     const auto known = m_engines.find(grant.group);
     if (request.fence != fence_number {} && (known == m_engines.end() || known->second != renewal.engines)) {
         m_engines[grant.group] = renewal.engines;
-        publish();
+        publishSoon();
     } else if (knewEngines != knowsEngines()) {
-        publish();
+        publishSoon();
     }
 }
 
@@ -477,6 +518,13 @@
     m_leases.setModels(std::move(models));
 }
 
+void coordinator_node::publishSoon()
+{
+    if (!std::exchange(m_isPublicationScheduled, true)) {
+        loop::triggerAfter(m_publicationDue, publicationDelay);
+    }
+}
+
 void coordinator_node::publish()
 {
     for (auto &[address, who] : m_subscribers) {
@@ -495,7 +543,7 @@
         isNews = merge(one, now) || isNews;
     }
     if (isNews) {
-        publish();
+        publishSoon();
     }
 }
 
@@ -509,7 +557,7 @@
     pollCoordinators(m_control->state().configuration().revision);
     if (m_directory.expire(now)) {
         logger()->warn("event=target_expired targets={}", m_directory.entries().size());
-        publish();
+        publishSoon();
     }
     const bool hasLeader = m_control->status().leader.has_value();
     if (hasLeader != m_hasLeader) {
@@ -529,10 +577,11 @@
         return;
     }
     if (m_longestDelay >= notableDelay) {
-        logger()->warn("event=loop_late longest_ms={} messages={}",
+        logger()->warn("event=loop_late longest_ms={} messages={} shed={}",
                        std::chrono::duration_cast<std::chrono::milliseconds>(m_longestDelay).count(),
-                       m_messages - m_messagesAtWindowStart);
+                       m_messages - m_messagesAtWindowStart, m_inbox.shed() - m_shedAtWindowStart);
     }
+    m_shedAtWindowStart = m_inbox.shed();
     m_lastWindowDelay = std::exchange(m_longestDelay, {});
     m_messagesAtWindowStart = m_messages;
     m_delayWindowStart = now;
