Believe a target that it did not run a request only where its answer can say so

What callers could see: a booking that runs twice. The header for 'not run' was believed with any status, also with a 500 that stands for a run, and in an answer that names another request; the request was then sent to a second target.

Only 400, 421, 429 and 503 can say so, and only for the request that they name.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -120,6 +120,25 @@
     CHECK_FALSE(language.decodeHead(request, 504, sealed).notRun);
 }
 
+TEST_CASE("a target is believed that it did not run a request only where its answer can say so", "[platform]")
+{
+    // Guards against a booking that is sent to a second target after the first one ran it.
+    forward::caller_request request;
+    request.id = { "id-1" };
+    const std::pair<std::string, std::string> notRun { "X-Figcleat-Not-Executed", "1" };
+    for (const int status : { 400, 421, 429, 503 }) {
+        INFO(status);
+        CHECK(language.decodeHead(request, status, { notRun }).notRun);
+        const auto another = language.decodeHead(request, status, { notRun, { "X-Figcleat-Attempt-Id", "id-2" } });
+        CHECK_FALSE(another.notRun);
+        CHECK(another.isSpoiled);
+    }
+    for (const int status : { 200, 202, 404, 500, 502, 504 }) {
+        INFO(status);
+        CHECK_FALSE(language.decodeHead(request, status, { notRun }).notRun);
+    }
+}
+
 TEST_CASE("only a request that did not run gets a status that says so", "[platform]")
 {
     CHECK(language.encodeRefusal({ result_code::target_lost, true, std::nullopt }).status == 502);
