--- a/src/forward/route-table.cc
+++ b/src/forward/route-table.cc
@@ -1,6 +1,7 @@
 #include "figcleat/forward/route-table.h"
 
 #include <algorithm>
+#include <cctype>
 #include <set>
 
 namespace figcleat::forward
@@ -40,6 +41,16 @@
     return {};
 }
 
+/** A Host header without its port, in the lower case that configurations use. */
+std::string plainHost(std::string_view host)
+{
+    const auto port = host.find(':', host.rfind(']') == std::string_view::npos ? 0 : host.rfind(']'));
+    std::string plain(host.substr(0, port));
+    std::transform(plain.begin(), plain.end(), plain.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return plain;
+}
+
 } // namespace
 
 expected<void> check(const route_table &table)
@@ -85,7 +96,8 @@
 
 const route *route_index::match(std::string_view host, std::string_view path) const
 {
-    const auto found = m_hosts.find(std::string(host));
+    auto found = m_hosts.find(std::string(host));
+    found = found == m_hosts.end() ? m_hosts.find(plainHost(host)) : found;
     if (found == m_hosts.end()) {
         return nullptr;
     }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -80,6 +80,19 @@
     CHECK(findHeader(sent.headers, "Authorization").empty());
 }
 
+TEST_CASE("the scheme of a key is read in any case", "[platform]")
+{
+    // Guards against 401 to callers whose client sends the scheme as HTTP allows.
+    for (const auto *header : { "Bearer secret", "bearer secret", "BEARER secret" }) {
+        http_request request = makeCall("GET", "/a");
+        request.headers = { { "Host", "desk.example" }, { "Authorization", header } };
+        CHECK(language.decodeRequest(request).key == "secret");
+    }
+    http_request request = makeCall("GET", "/a");
+    request.headers = { { "Authorization", "Basic secret" } };
+    CHECK_FALSE(language.decodeRequest(request).key);
+}
+
 TEST_CASE("headers that concern the caller's connection are not passed on to the target", "[platform]")
 {
     http_request request = makeCall("GET", "/a");
--- a/test/route-table-test.cc
+++ b/test/route-table-test.cc
@@ -45,6 +45,18 @@
     CHECK(index.match("other.example", "/a/") == nullptr);
 }
 
+TEST_CASE("a host matches in any case and with a port", "[forward]")
+{
+    // Guards against 404 to callers whose client sends the port, or capitals, as HTTP allows.
+    const route_index index(makeTable());
+    CHECK(nameOf(index.match("desk.example:8080", "/a/")) == "a");
+    CHECK(nameOf(index.match("Desk.Example", "/a/")) == "a");
+    CHECK(nameOf(index.match("DESK.example:80", "/a/")) == "a");
+    CHECK(index.match("desk.example.org", "/a/") == nullptr);
+    CHECK(index.match("", "/a/") == nullptr);
+    CHECK(index.match("[::1]:80", "/a/") == nullptr);
+}
+
 TEST_CASE("a configuration with a mistake is refused whole", "[forward]")
 {
     auto table = makeTable();
