Keep the ranks of a group that a new leader does not know

The leader of the log was cut off with them; its successor knew only the agents that it heard, and the controller forgot the other five ranks with the new list of contacts, so that they were not among the engines told to fronts as down.

A list of contacts now replaces what it names and removes nothing but ranks beyond the size of the group. The test failed before.

--- a/src/daemon/group-control.cc
+++ b/src/daemon/group-control.cc
@@ -112,11 +112,14 @@
 void group_control::setContacts(const std::vector<group::rank_contact> &contacts)
 {
     auto &ranks = m_tenure->ranks;
-    std::erase_if(ranks, [&contacts](const auto &entry) {
-        return std::find(contacts.begin(), contacts.end(), entry.second.contact) == contacts.end();
-    });
+    std::erase_if(ranks, [this](const auto &entry) { return entry.first >= m_tenure->seat.ranks; });
     for (const auto &one : contacts) {
-        ranks[one.rank].contact = one;
+        auto &link = ranks[one.rank];
+        // A new leader does not know the ranks that it cannot hear; what is known of those stays.
+        if (link.contact != one) {
+            link = {};
+            link.contact = one;
+        }
     }
     announceRelays();
 }
--- a/test/group-control-test.cc
+++ b/test/group-control-test.cc
@@ -30,7 +30,7 @@
         return parts;
     }
 
-    void grant(std::uint64_t fence)
+    void grant(std::uint64_t fence, std::uint64_t contactsVersion = 1, bool isWhole = true)
     {
         group::control_grant given;
         given.group = own.group;
@@ -40,9 +40,11 @@
         given.model.sets = 1;
         given.model.experts = 2;
         given.model.placements = 1;
-        given.contactsVersion = 1;
-        given.contacts = { { 0, { "10.0.1.0:7000" }, { "dc" }, "10.0.0.0:80" },
-                           { 1, { "10.0.1.1:7000" }, { "dc" }, "10.0.0.1:80" } };
+        given.contactsVersion = contactsVersion;
+        given.contacts = { { 0, { "10.0.1.0:7000" }, { "dc" }, "10.0.0.0:80" } };
+        if (isWhole) {
+            given.contacts.push_back({ 1, { "10.0.1.1:7000" }, { "dc" }, "10.0.0.1:80" });
+        }
         subject.onGrant(own, given);
     }
 
@@ -99,6 +101,19 @@
     CHECK(f.subject.engines().size() == 2);
 }
 
+TEST_CASE("ranks that a new leader does not know are down with their group", "[map]")
+{
+    // Guards against the same when the leader that knew all ranks was cut off with some of them.
+    control_fixture f;
+    f.grant(5);
+    f.report(0, true);
+    f.report(1, true);
+    f.grant(5, 2, false);
+    f.report(0, false);
+    f.subject.tick();
+    CHECK(f.subject.engines().size() == 2);
+}
+
 TEST_CASE("a controller stops when its control is not prolonged", "[map]")
 {
     control_fixture f;
