Log the holds and releases of controllers and the map that a rank uses

A step that begins with two maps could not be traced in logs: controllers logged plans and switches only, agents logged orders without the id and fence that tell a late answer or an earlier controller, and no process said which map a rank uses. At most a line a phase of a switch and a line a rank and map.

--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -300,9 +300,10 @@
          [this, from, order, fence = command.fence](int status, const std::string &body) {
              const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
              ++m_orders[result];
-             logger()->info("event=order op={} version={} step={} expected={} status={} answer={}",
-                            static_cast<int>(order.operation), order.version.value, order.step.value,
-                            order.expectedOrders, status, result == group::order_result::refused ? body : "");
+             logger()->info("event=order id={} fence={} op={} version={} step={} expected={} status={} answer={}",
+                            order.id.value, fence.value, static_cast<int>(order.operation), order.version.value,
+                            order.step.value, order.expectedOrders, status,
+                            result == group::order_result::refused ? body : "");
              deliver(from, group::rank_result { fence, m_status->rank, { order.id, result } });
              afterOrder(order, result);
          });
@@ -372,6 +373,10 @@
     }
     const bool isAsBefore
         = isSameMap && m_status->isOpen == next.isOpen && std::abs(m_status->pace - next.pace) < paceChange;
+    if (!isSameMap) {
+        logger()->info("event=map_in_use group={} epoch={} rank={} version={} step={}", next.group.value,
+                       next.epoch.value, next.rank, next.map.value, next.step.value);
+    }
     m_status = std::move(next);
     m_reportDue = m_reportDue || !isAsBefore;
     if (m_awaited && hasArrived(*m_awaited)) {
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -413,6 +413,9 @@
         if (rank.strayHold == step_number {} || m_now - rank.strayReleasedAt < orderTimeout) {
             continue;
         }
+        if (rank.strayReleasedAt == time_point {}) {
+            note(fmt::format("releases_stray=1 rank={} step={}", number, rank.strayHold.value));
+        }
         m_lastOrder = m_lastOrder.next();
         rank.strayRelease = m_lastOrder;
         rank.strayReleasedAt = m_now;
@@ -486,12 +489,14 @@
         enter(phase::holding);
         break;
     case phase::holding:
+        note(fmt::format("held=1 version={} rank={} step={}", m_version.value, m_holder, m_step.value));
         enter(phase::arming);
         break;
     case phase::arming:
         enter(phase::releasing);
         break;
     case phase::releasing:
+        note(fmt::format("released=1 version={} rank={} step={}", m_version.value, m_holder, m_step.value));
         enter(m_version == map_version {} ? phase::idle : phase::switching);
         break;
     case phase::switching:
