Take no grant that an earlier life of an agent asked for

Callers: streams of a group break when a step begins while its ranks use two maps.

An agent was restarted; the answer to a renewal of its earlier process came after that and made the new process controller with the fence of the earlier one. Both count their orders from 1, so the late answer to an order of the first confirmed the hold of the second, and ranks were armed one after the other for a step that nobody held.

Ruled out: a late order by itself; the order that was confirmed had been refused.

A grant counts only if it answers a request that this process sent.

--- a/include/figcleat/daemon/group-control.h
+++ b/include/figcleat/daemon/group-control.h
@@ -105,6 +105,7 @@
     void reviewEngines();
 
     parts m_parts;
+    time_point m_startedAt;
     std::optional<control_tenure> m_tenure;
     std::vector<forward::engine_condition> m_engines;
     http_client_pool m_clients;
--- a/src/daemon/group-control.cc
+++ b/src/daemon/group-control.cc
@@ -49,6 +49,7 @@
 
 group_control::group_control(parts wiring)
     : m_parts(std::move(wiring))
+    , m_startedAt(m_parts.time->now())
     , m_clients(m_parts.eventLoop, orderSettings, *this)
 {
 }
@@ -70,11 +71,18 @@
 void group_control::onGrant(const group::group_seat &own, const group::control_grant &grant)
 {
     const auto now = m_parts.time->now();
-    const time_point until = time_point(duration(grant.sentAt)) + std::chrono::milliseconds(grant.milliseconds);
+    const time_point askedAt { duration(grant.sentAt) };
+    const time_point until = askedAt + std::chrono::milliseconds(grant.milliseconds);
     const bool isOlder = m_tenure && grant.fence < m_tenure->fence;
     if (grant.fence == fence_number {} || own.group != grant.group || until <= now || isOlder) {
         return;
     }
+    if (askedAt < m_startedAt || askedAt > now) {
+        // An earlier life of this agent asked; it may have given orders with this fence.
+        logger()->warn("event=grant_refused group={} fence={} reason=earlier_life", grant.group.value,
+                       grant.fence.value);
+        return;
+    }
     if (!m_tenure || grant.fence > m_tenure->fence) {
         begin(own, grant);
     }
--- a/test/group-control-test.cc
+++ b/test/group-control-test.cc
@@ -126,6 +126,31 @@
     CHECK_FALSE(f.subject.isActive());
 }
 
+TEST_CASE("a grant that an earlier life of the agent asked for is not taken", "[map]")
+{
+    // Guards against a second controller with the fence and the order ids of the first: an answer to an order of the
+    // first one would confirm another order of the second.
+    control_fixture f;
+    const auto before = f.time.now();
+    f.time.advance(100ms);
+    group_control restarted(f.wiring());
+    f.time.advance(100ms);
+    group::control_grant given;
+    given.group = f.own.group;
+    given.fence = { 5 };
+    given.sentAt = before.time_since_epoch().count();
+    given.milliseconds = 2000;
+    restarted.onGrant(f.own, given);
+    CHECK_FALSE(restarted.isActive());
+    // A clock that began anew with its VM.
+    given.sentAt = (f.time.now() + 1h).time_since_epoch().count();
+    restarted.onGrant(f.own, given);
+    CHECK_FALSE(restarted.isActive());
+    given.sentAt = f.time.now().time_since_epoch().count();
+    restarted.onGrant(f.own, given);
+    CHECK(restarted.isActive());
+}
+
 TEST_CASE("a controller stops when its own agent follows another one", "[map]")
 {
     // Guards against two controllers that order at the same time.
