Hold no step that an earlier controller can have released

Callers: streams of a group break when a step begins while its ranks use two maps.

A release names a rank and a step, nothing else. Where it is carried out late, it ends each hold of that step at that rank. A controller used no step twice, but its successor began again two steps after the last one reported, at the same rank; while the group had no requests, that was the step whose release its predecessor had sent. It also took over a hold that it found when its own was refused, which its predecessor may have given up. In both cases the release let the group begin the step while ranks were being armed.

Ruled out: the count that an order expects, which the platform's engines do not raise for orders about maps; fences, which they do not check.

No controller holds a step more than 16 ahead of the last one reported, and one that takes over begins beyond all that its predecessor can have known. In a group that begins no steps it waits. A hold that is there already is released, not used.

'a successor holds no step that its predecessor released' failed on the code before (same rank and step).

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -84,9 +84,9 @@
  * same step begins. An order that is carried out late has no effect: its step has begun, its version is no longer the
  * one prepared, or, where the engine counts such orders, the count that it names has passed.
  *
- * Only one controller may act at a time. One that finds a hold of its predecessor releases it if every rank is armed;
- * else it disarms all and lets every rank prepare the present map, which makes earlier orders void, before the release.
- * Armed ranks without a hold are about to switch and are left alone.
+ * Only one controller may act at a time. Orders of its predecessor may still be carried out, so it holds only steps
+ * that those cannot name. One that finds a hold of its predecessor releases it if every rank is armed; else it disarms
+ * all and lets every rank prepare the present map, which makes earlier orders void, before the release. Armed ranks without a hold are about to switch and are left alone.
  *
  * A map that is being loaded when demand shifts is given up for one that serves the new demand.
  */
@@ -140,8 +140,6 @@
         /** Step of a hold that was given up; it is released until the rank answers. */
         step_number strayHold {};
         order_id strayRelease {};
-        /** Highest step whose release was sent to this rank. */
-        step_number released {};
         time_point strayReleasedAt {};
     };
 
@@ -191,6 +189,8 @@
     /** Load of the busiest rank over the mean; 0 without load. */
     [[nodiscard]] double skewOf(const expert_demand &demand, const expert_map &map, const plan_limits &limits) const;
     [[nodiscard]] std::vector<expert_lists> inOrderForm(const std::vector<layer_map> &layers) const;
+    /** Latest step that a rank reported. */
+    [[nodiscard]] step_number furthestStep() const;
     void chooseStep();
     void note(std::string what);
 
@@ -207,6 +207,8 @@
     map_version m_version;
     std::vector<layer_map> m_layers;
     step_number m_step;
+    /** Beyond each step that an earlier controller can have named; set once all ranks have reported. */
+    std::optional<step_number> m_firstStep;
     /** Rank that holds the step. */
     rank_number m_holder = 0;
     std::uint64_t m_stepMargin = 0;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -38,7 +38,13 @@
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
 constexpr std::uint64_t firstStepMargin = 2;
-constexpr std::uint64_t maxStepMargin = 48;
+/** Steps that an earlier controller may have known of beyond those that the ranks reported to this one. */
+constexpr std::uint64_t reportedStepLag = 2;
+/**
+ * No step further ahead is held. It also bounds the steps that the orders of an earlier controller can name, so that a
+ * successor holds none of them again: a release of such a step may still be carried out.
+ */
+constexpr std::uint64_t maxStepMargin = 16;
 /**
  * The same while orders go unanswered: several rounds of about 55 ms have to end before the held step is reached, as a
  * pause of a step makes every stream of the group late. The longer the steps, the fewer of them that takes.
@@ -112,6 +118,7 @@
 {
     m_epoch = status.epoch;
     m_step = {};
+    m_firstStep.reset();
     m_furthestStep = {};
     m_stepSeconds = 0;
     m_size = status.ranks;
@@ -222,12 +229,11 @@
     if (m_phase != phase::holding || isSettled(rank)) {
         return;
     }
-    // A release that was sent for an earlier hold may be carried out late, while ranks are being armed.
-    if (rank.status.held > rank.released) {
-        m_step = rank.status.held;
-        return;
+    // A hold that is there already is not taken over: a release that was sent for it may be carried out late, while
+    // ranks are being armed.
+    if (rank.status.held == step_number {}) {
+        m_stepMargin = std::min(m_stepMargin * 2, maxStepMargin);
     }
-    m_stepMargin = std::min(m_stepMargin * 2, maxStepMargin);
     chooseStep();
 }
 
@@ -346,9 +352,6 @@
     to.agentSilent = to.agentSilent || to.sends >= agentTries;
     const bool directly = isUrgent && to.agentSilent;
     to.sends += 1;
-    if (order.operation == rank_operation::go) {
-        to.released = std::max(to.released, order.step);
-    }
     m_actions.emplace_back(send_order { rank, std::move(order), directly });
 }
 
@@ -357,6 +360,11 @@
     if (m_phase == phase::idle || m_phase == phase::switching) {
         return;
     }
+    if (m_phase == phase::holding && m_step.value > furthestStep().value + maxStepMargin) {
+        // The group has to begin more steps first.
+        m_since = m_now;
+        return;
+    }
     std::vector<rank_number> first;
     for (auto &[number, rank] : m_ranks) {
         const bool isDue = rank.sentAt == time_point {} || m_now - rank.sentAt >= answerTimeout();
@@ -419,7 +427,6 @@
         m_lastOrder = m_lastOrder.next();
         rank.strayRelease = m_lastOrder;
         rank.strayReleasedAt = m_now;
-        rank.released = std::max(rank.released, rank.strayHold);
         rank_order order;
         order.id = m_lastOrder;
         order.operation = rank_operation::go;
@@ -461,6 +468,9 @@
     if (!isComplete()) {
         return;
     }
+    if (!m_firstStep) {
+        m_firstStep = step_number { furthestStep().value + maxStepMargin + reportedStepLag };
+    }
     const auto isDone = [this] {
         return std::all_of(m_ranks.begin(), m_ranks.end(),
                            [this](const auto &entry) { return !takesPart(entry.first) || isSettled(entry.second); });
@@ -727,14 +737,19 @@
     return sets;
 }
 
-void map_controller::chooseStep()
+step_number map_controller::furthestStep() const
 {
     step_number furthest;
     for (const auto &[number, rank] : m_ranks) {
         furthest = std::max(furthest, rank.status.step);
     }
+    return furthest;
+}
+
+void map_controller::chooseStep()
+{
     // Never the same step twice: a release of an earlier hold may be carried out late.
-    m_step = { std::max(furthest.value + m_stepMargin, m_step.value + 1) };
+    m_step = { std::max({ furthestStep().value + m_stepMargin, m_step.value + 1, m_firstStep->value }) };
     const auto answers
         = std::find_if(m_ranks.begin(), m_ranks.end(), [](const auto &entry) { return !entry.second.agentSilent; });
     m_holder = answers == m_ranks.end() ? m_ranks.begin()->first : answers->first;
--- a/test/control-random-test.cc
+++ b/test/control-random-test.cc
@@ -25,6 +25,18 @@
     time_point renewedAt {};
     time_point announcedAt {};
     time_point frozenUntil {};
+    time_point startedAt {};
+};
+
+/** What the engines and the network do to orders. */
+struct order_faults
+{
+    /** Share of the orders, in tenths, that get no answer and are carried out late. */
+    std::uint64_t lateTenths = 2;
+    std::uint64_t longestLateMs = 4000;
+    bool countsOrders = true;
+    /** The group begins no steps for some seconds, as without requests. */
+    bool hasIdleTimes = false;
 };
 
 /**
@@ -34,10 +46,14 @@
 class control_world
 {
 public:
-    explicit control_world(std::uint64_t seed)
+    explicit control_world(std::uint64_t seed, order_faults faults = {})
         : m_group(seed)
         , m_agents(ranks)
+        , m_orderFaults(faults)
     {
+        for (auto &one : m_group.members()) {
+            one.countsOrders = faults.countsOrders;
+        }
         m_leases.setModels({ { { "s" }, makeModel() } });
         changeLeader();
     }
@@ -52,7 +68,7 @@
                 m_queue.erase(m_queue.begin());
                 due();
             }
-            if (m_ticks % 5 == 0) {
+            if (m_ticks % 5 == 0 && m_now >= m_idleUntil) {
                 m_group.beginStep();
             }
             for (auto &one : m_group.members()) {
@@ -69,12 +85,13 @@
     void disturb()
     {
         auto &one = m_agents[random(ranks)];
-        switch (random(5)) {
+        switch (random(m_orderFaults.hasIdleTimes ? 6 : 5)) {
         case 0:
             one.frozenUntil = m_now + std::chrono::milliseconds(100 + random(3000));
             break;
         case 1:
             one = {};
+            one.startedAt = m_now;
             break;
         case 2:
             changeLeader();
@@ -82,6 +99,9 @@
         case 3:
             formAgain();
             break;
+        case 5:
+            m_idleUntil = m_now + std::chrono::milliseconds(random(3000));
+            break;
         default:
             m_group.shiftDemand();
         }
@@ -216,7 +236,8 @@
     void onGrant(agent &one, const control_grant &grant)
     {
         const time_point until = time_point(duration(grant.sentAt)) + std::chrono::milliseconds(grant.milliseconds);
-        if (grant.fence.value == 0 || until <= m_now || grant.fence < one.followed.latest().fence
+        const bool isOfEarlierLife = time_point(duration(grant.sentAt)) < one.startedAt;
+        if (grant.fence.value == 0 || until <= m_now || grant.fence < one.followed.latest().fence || isOfEarlierLife
             || (one.controller && grant.fence < one.fence)) {
             return;
         }
@@ -323,8 +344,8 @@
     {
         auto &engine = m_group.members()[sent.rank];
         order_result result = order_result::unknown;
-        if (m_faults && random(10) < 2) {
-            later(std::chrono::milliseconds(random(4000)),
+        if (m_faults && random(10) < m_orderFaults.lateTenths) {
+            later(std::chrono::milliseconds(random(m_orderFaults.longestLateMs)),
                   [this, sent] { (void)m_group.members()[sent.rank].carryOut(sent.order, m_group.currentStep()); });
         } else {
             result = engine.carryOut(sent.order, m_group.currentStep());
@@ -339,6 +360,8 @@
     fake_group m_group;
     std::vector<agent> m_agents;
     control_leases m_leases;
+    order_faults m_orderFaults;
+    time_point m_idleUntil {};
     std::uint64_t m_term = 0;
     time_point m_now { 100s };
     int m_ticks = 0;
@@ -372,6 +395,25 @@
     CHECK(controllers >= 800);
 }
 
+TEST_CASE("no step begins with two maps while orders of replaced controllers are carried out 12 s late",
+          "[group][map][control]")
+{
+    // Guards against a hold that ends by a release which an earlier controller sent for the same step.
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        INFO("seed " << seed);
+        control_world w(seed, { 5, 12'000, false, true });
+        w.run(300);
+        for (int round = 0; round < 25; ++round) {
+            w.disturb();
+            w.run(static_cast<int>(10 + w.group().random()() % 120));
+        }
+        w.setFaults(false);
+        w.run(2500);
+        CHECK(w.releases());
+        CHECK(w.group().skew() < 2.0);
+    }
+}
+
 TEST_CASE("a group without faults keeps its controller", "[group][map][control]")
 {
     control_world w(1);
--- a/test/engine-group.h
+++ b/test/engine-group.h
@@ -39,6 +39,8 @@
     /** Calls of `load` that loading takes. */
     int loadingTicks = 0;
     int loadingLeft = 0;
+    /** False for engines whose count of orders leaves out those about maps, so that no expected count keeps any out. */
+    bool countsOrders = true;
 
     /** Loads on; a map that has been replaced is never prepared. */
     void load()
@@ -64,7 +66,7 @@
             }
             status.prepared = loadingTicks == 0 ? order.version : map_version {};
             loadingLeft = loadingTicks;
-            ++status.orders;
+            status.orders += countsOrders ? 1 : 0;
             return order_result::accepted;
         case rank_operation::arm:
             if (status.prepared != order.version || groupStep >= order.step) {
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -240,6 +240,100 @@
     return 0;
 }
 
+/** Runs a controller against a group. Orders are carried out one at a time, at once. */
+class order_script
+{
+public:
+    order_script(fake_group &group, std::uint64_t firstVersion)
+        : m_group(group)
+        , m_controller({ makeModel(), firstVersion })
+    {
+    }
+
+    /** The first order of this kind, which is not carried out, as each of the kind `lost`; none within 3 s. */
+    std::optional<send_order> runUntilOrder(rank_operation wanted, std::optional<rank_operation> lost = {})
+    {
+        for (int i = 0; i < 300; ++i) {
+            m_now += 10ms;
+            if (m_beginsSteps && i % 5 == 0) {
+                m_group.beginStep();
+            }
+            report({});
+            for (auto pending = std::exchange(m_pending, {}); const auto &sent : pending) {
+                if (sent.order.operation == wanted) {
+                    return sent;
+                }
+                if (sent.order.operation != lost) {
+                    carryOut(sent);
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    /** Without requests a group begins no steps. */
+    void setBeginsSteps(bool begins)
+    {
+        m_beginsSteps = begins;
+    }
+
+    /** Carries out so many orders of the controller, to which this rank says that it is not armed. */
+    void runWithStaleRank(rank_number stale, std::size_t orders)
+    {
+        for (int i = 0; i < 100 && orders > 0; ++i) {
+            m_now += 10ms;
+            report(stale);
+            for (auto pending = std::exchange(m_pending, {}); const auto &sent : pending) {
+                if (orders > 0) {
+                    --orders;
+                    carryOut(sent);
+                }
+            }
+        }
+    }
+
+private:
+    void report(std::optional<rank_number> stale)
+    {
+        for (const auto &one : m_group.members()) {
+            auto status = one.status;
+            for (auto &set : status.chosen) {
+                set[0] = 100;
+                set[1] = 10;
+            }
+            status.armed = status.rank == stale ? map_version {} : status.armed;
+            collect(m_controller.step(rank_reported { status }, m_now));
+        }
+    }
+
+    void carryOut(const send_order &sent)
+    {
+        const auto result = m_group.members()[sent.rank].carryOut(sent.order, m_group.currentStep());
+        collect(m_controller.step(order_answered { sent.rank, { sent.order.id, result } }, m_now));
+    }
+
+    void collect(const std::vector<map_action> &actions)
+    {
+        for (const auto &action : actions) {
+            if (const auto *sent = std::get_if<send_order>(&action)) {
+                m_pending.push_back(*sent);
+            } else if (const auto *spread = std::get_if<spread_order>(&action)) {
+                for (const auto &to : spread->to) {
+                    m_pending.push_back({ to.rank, spread->order, false });
+                    m_pending.back().order.id = to.id;
+                    m_pending.back().order.expectedOrders = to.expectedOrders;
+                }
+            }
+        }
+    }
+
+    fake_group &m_group;
+    map_controller m_controller;
+    time_point m_now { 100s };
+    bool m_beginsSteps = false;
+    std::vector<send_order> m_pending;
+};
+
 } // namespace
 
 TEST_CASE("a report says what was chosen since the one before", "[group][map]")
@@ -293,6 +387,26 @@
     }
 }
 
+TEST_CASE("a successor holds no step that its predecessor released", "[group][map]")
+{
+    // Guards against a release that is carried out late, while the successor arms ranks for the same step.
+    fake_group group(1);
+    order_script predecessor(group, 1);
+    predecessor.setBeginsSteps(true);
+    REQUIRE(predecessor.runUntilOrder(rank_operation::hold));
+    // From here on the group has no requests, so that its step stays where it is.
+    predecessor.setBeginsSteps(false);
+    const auto released = predecessor.runUntilOrder(rank_operation::go, rank_operation::hold);
+    REQUIRE(released);
+    order_script successor(group, 100'001);
+    const auto held = successor.runUntilOrder(rank_operation::hold);
+    CHECK_FALSE((held && held->rank == released->rank && held->order.step == released->order.step));
+    successor.setBeginsSteps(true);
+    const auto later = successor.runUntilOrder(rank_operation::hold);
+    REQUIRE(later);
+    CHECK(later->order.step > released->order.step);
+}
+
 TEST_CASE("a map loads as many experts of a set as load in time", "[group][map]")
 {
     // Guards against groups that need several switches for a shift of demand though one would load in time.
