Complete the switch of an earlier controller instead of undoing it

Callers: streams of a group break when a step begins while its ranks use two maps; a group stands still while a switch is undone, which takes a round of orders with whole maps.

A controller that found a hold and not all ranks armed, as far as it had been told, disarmed them one by one. Its predecessor may have armed the last rank and sent the release after that rank had reported to the successor: the predecessor orders engines directly when an agent does not answer, and an agent that follows the successor answers it no more. A release that is carried out while some ranks are disarmed begins a step with two maps.

Ranks that still have the map prepared are armed for the step that is held, and the hold is released when all have confirmed. A late order of the predecessor, to arm or to release, then does what is meant. If two steps are held or a rank lacks the map, the switch is undone as before: no release can be under way then, as not all ranks were armed.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -85,8 +85,9 @@
  * one prepared, or, where the engine counts such orders, the count that it names has passed.
  *
  * Only one controller may act at a time. Orders of its predecessor may still be carried out, so it holds only steps
- * that those cannot name. One that finds a hold of its predecessor releases it if every rank is armed; else it disarms
- * all and lets every rank prepare the present map, which makes earlier orders void, before the release. Armed ranks without a hold are about to switch and are left alone.
+ * that those cannot name. One that finds a hold of its predecessor arms the ranks that are not armed yet and releases
+ * it. If that cannot be, it disarms all and lets every rank prepare the present map, which makes earlier orders void,
+ * before the release. Armed ranks without a hold are about to switch and are left alone.
  *
  * A map that is being loaded when demand shifts is given up for one that serves the new demand.
  */
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <numeric>
+#include <set>
 
 namespace figcleat::group
 {
@@ -567,14 +568,31 @@
 
 void map_controller::recover()
 {
-    const auto first = m_ranks.begin()->second.status.armed;
-    const bool allArmed = first != map_version {}
-        && std::all_of(m_ranks.begin(), m_ranks.end(),
-                       [first](const auto &entry) { return entry.second.status.armed == first; });
-    note(fmt::format("recovers=1 armed={} all={}", first.value, allArmed));
-    if (allArmed) {
-        m_version = first;
+    std::set<step_number> held;
+    map_version armed;
+    std::size_t ranksArmed = 0;
+    for (const auto &[number, rank] : m_ranks) {
+        armed = std::max(armed, rank.status.armed);
+        ranksArmed += rank.status.armed == map_version {} ? 0 : 1;
+        if (rank.status.held != step_number {}) {
+            held.insert(rank.status.held);
+            m_holder = number;
+        }
+    }
+    const bool canComplete = std::all_of(m_ranks.begin(), m_ranks.end(), [armed](const auto &entry) {
+        return entry.second.status.armed == armed || entry.second.status.prepared == armed;
+    });
+    note(fmt::format("recovers=1 armed={} ranks_armed={} held={} complete={}", armed.value, ranksArmed,
+                     held.rbegin()->value, canComplete));
+    if (armed != map_version {} && ranksArmed == m_size && canComplete) {
+        m_version = armed;
         releaseHold();
+    } else if (armed != map_version {} && held.size() == 1 && canComplete) {
+        // A release may be under way already if the missing reports are late, so nothing is undone that can be
+        // completed. Ranks are armed for the one step that is held.
+        m_version = armed;
+        m_step = *held.begin();
+        enter(phase::arming);
     } else {
         enter(phase::disarming);
     }
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -407,6 +407,26 @@
     CHECK(later->order.step > released->order.step);
 }
 
+TEST_CASE("a switch that its predecessor was about to release is completed", "[group][map]")
+{
+    // Guards against ranks that are disarmed one by one while the release is carried out, because a report of one of
+    // them is late.
+    for (std::size_t orders = 0; orders < 12; ++orders) {
+        INFO("orders of the successor before the release: " << orders);
+        fake_group group(1);
+        order_script predecessor(group, 1);
+        predecessor.setBeginsSteps(true);
+        const auto release = predecessor.runUntilOrder(rank_operation::go);
+        REQUIRE(release);
+        order_script successor(group, 100'001);
+        successor.runWithStaleRank(ranks - 1, orders);
+        (void)group.members()[release->rank].carryOut(release->order, group.currentStep());
+        for (int i = 0; i < 4; ++i) {
+            group.beginStep();
+        }
+    }
+}
+
 TEST_CASE("a map loads as many experts of a set as load in time", "[group][map]")
 {
     // Guards against groups that need several switches for a shift of demand though one would load in time.
