Undo a switch only where a rank refuses to be armed

Callers: streams of a group break when a step begins while its ranks use two maps.

A report says what was, not what is; only the engine's answer to an order says that a rank cannot be armed.

A successor now arms all ranks for the step for which the engines report to be armed, and undoes the switch if a rank has refused that three times and reports no state from which it could be armed.

--- a/include/figcleat/group/engine-rank.h
+++ b/include/figcleat/group/engine-rank.h
@@ -41,6 +41,8 @@
     map_version prepared {};
     /** Map to which the rank will switch; 0 for none. */
     map_version armed {};
+    /** Step at which it will; 0 if not told. */
+    step_number armedStep {};
     /** Step that the group does not begin; 0 for none. */
     step_number held {};
     /** Experts of this rank under `map`. */
@@ -49,8 +51,8 @@
      * Messages carry it apart. */
     expert_lists chosen {};
 
-    MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed, held,
-                   experts)
+    MSGPACK_DEFINE(service, address, group, epoch, rank, ranks, isOpen, pace, orders, step, map, prepared, armed,
+                   armedStep, held, experts)
 };
 
 /** Choices between two readings of counts that only grow; 0 for a count that fell, as after a restart. */
--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -85,8 +85,8 @@
  * one prepared, or, where the engine counts such orders, the count that it names has passed.
  *
  * Only one controller may act at a time. Orders of its predecessor may still be carried out, so it holds only steps
- * that those cannot name. One that finds a hold of its predecessor arms the ranks that are not armed yet and releases
- * it. If that cannot be, it disarms all and lets every rank prepare the present map, which makes earlier orders void,
+ * that those cannot name. One that finds armed ranks and a hold of its predecessor arms all ranks and releases it.
+ * If a rank refuses that, it disarms all and lets every rank prepare the present map, which makes earlier orders void,
  * before the release. Armed ranks without a hold are about to switch and are left alone.
  *
  * A map that is being loaded when demand shifts is given up for one that serves the new demand.
@@ -138,6 +138,8 @@
         bool agentSilent = false;
         /** The rank refused the last order; the next report tells why. */
         bool refused = false;
+        /** Orders of the present phase that were refused. */
+        std::uint32_t refusals = 0;
         /** Step of a hold that was given up; it is released until the rank answers. */
         step_number strayHold {};
         order_id strayRelease {};
@@ -210,6 +212,8 @@
     step_number m_step;
     /** Beyond each step that an earlier controller can have named; set once all ranks have reported. */
     std::optional<step_number> m_firstStep;
+    /** The ranks are armed for a switch that an earlier controller began. */
+    bool m_recovers = false;
     /** Rank that holds the step. */
     rank_number m_holder = 0;
     std::uint64_t m_stepMargin = 0;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -39,6 +39,8 @@
 constexpr duration switchTimeout = std::chrono::seconds(3);
 /** Steps between the last one reported and the one that is held: reports are a few steps old. */
 constexpr std::uint64_t firstStepMargin = 2;
+/** Refusals of one order after which it is taken to be impossible; single ones may be due to an older report. */
+constexpr std::uint32_t lastingRefusals = 3;
 /** Steps that an earlier controller may have known of beyond those that the ranks reported to this one. */
 constexpr std::uint64_t reportedStepLag = 2;
 /**
@@ -120,6 +122,7 @@
     m_epoch = status.epoch;
     m_step = {};
     m_firstStep.reset();
+    m_recovers = false;
     m_furthestStep = {};
     m_stepSeconds = 0;
     m_size = status.ranks;
@@ -208,6 +211,7 @@
         rank.pending = {};
         rank.sentAt = m_now;
         rank.refused = true;
+        ++rank.refusals;
         break;
     case order_result::unknown:
         rank.pending = {};
@@ -275,6 +279,7 @@
         rank.sends = 0;
         rank.confirmed = false;
         rank.refused = false;
+        rank.refusals = 0;
     }
 }
 
@@ -296,7 +301,7 @@
     case phase::holding:
         return rank.confirmed || status.held == m_step;
     case phase::arming:
-        return rank.confirmed || status.armed == m_version;
+        return rank.confirmed || status.armed == m_version || status.map == m_version;
     case phase::releasing:
         return rank.confirmed || (rank.heard > m_since && status.held == step_number {});
     case phase::switching:
@@ -413,7 +418,8 @@
 
 void map_controller::releaseStrayHolds()
 {
-    const bool isSwitching = m_phase == phase::holding || m_phase == phase::arming || m_phase == phase::releasing;
+    const bool isArming = m_phase == phase::arming && !m_recovers;
+    const bool isSwitching = m_phase == phase::holding || isArming || m_phase == phase::releasing;
     for (auto &[number, rank] : m_ranks) {
         const auto held = rank.status.held;
         if (isSwitching && held != step_number {} && (number != m_holder || held != m_step)) {
@@ -455,12 +461,13 @@
                        [](const auto &entry) { return entry.second.status.held != step_number {}; });
 }
 
-/** Every rank is armed or still has the map prepared. */
+/** False if a rank has refused to be armed and reports no state from which it could be. */
 bool map_controller::canArm() const
 {
     return std::all_of(m_ranks.begin(), m_ranks.end(), [this](const auto &entry) {
         const auto &status = entry.second.status;
-        return entry.second.confirmed || status.armed == m_version || status.prepared == m_version;
+        return entry.second.confirmed || status.armed == m_version || status.prepared == m_version
+            || status.map == m_version || entry.second.refusals < lastingRefusals;
     });
 }
 
@@ -504,7 +511,11 @@
         enter(phase::arming);
         break;
     case phase::arming:
-        enter(phase::releasing);
+        if (std::exchange(m_recovers, false)) {
+            releaseHold();
+        } else {
+            enter(phase::releasing);
+        }
         break;
     case phase::releasing:
         note(fmt::format("released=1 version={} rank={} step={}", m_version.value, m_holder, m_step.value));
@@ -560,7 +571,8 @@
         enter(phase::idle);
     } else if (m_phase == phase::holding && since >= holdTimeout) {
         holdElsewhere();
-    } else if (m_phase == phase::arming && since >= switchTimeout && areFresh(freshness) && !canArm()) {
+    } else if (m_phase == phase::arming && areFresh(freshness) && !canArm()) {
+        m_recovers = false;
         note(fmt::format("abandoned=1 version={} reason=not_prepared", m_version.value));
         enter(phase::disarming);
     }
@@ -568,34 +580,32 @@
 
 void map_controller::recover()
 {
-    std::set<step_number> held;
     map_version armed;
-    std::size_t ranksArmed = 0;
+    step_number armedStep;
+    std::set<step_number> held;
     for (const auto &[number, rank] : m_ranks) {
-        armed = std::max(armed, rank.status.armed);
-        ranksArmed += rank.status.armed == map_version {} ? 0 : 1;
+        if (rank.status.armed > armed) {
+            armed = rank.status.armed;
+            armedStep = rank.status.armedStep;
+        }
         if (rank.status.held != step_number {}) {
             held.insert(rank.status.held);
-            m_holder = number;
         }
     }
-    const bool canComplete = std::all_of(m_ranks.begin(), m_ranks.end(), [armed](const auto &entry) {
-        return entry.second.status.armed == armed || entry.second.status.prepared == armed;
-    });
-    note(fmt::format("recovers=1 armed={} ranks_armed={} held={} complete={}", armed.value, ranksArmed,
-                     held.rbegin()->value, canComplete));
-    if (armed != map_version {} && ranksArmed == m_size && canComplete) {
-        m_version = armed;
-        releaseHold();
-    } else if (armed != map_version {} && held.size() == 1 && canComplete) {
-        // A release may be under way already if the missing reports are late, so nothing is undone that can be
-        // completed. Ranks are armed for the one step that is held.
-        m_version = armed;
-        m_step = *held.begin();
-        enter(phase::arming);
-    } else {
+    if (armedStep == step_number {} && held.size() == 1) {
+        armedStep = *held.begin();
+    }
+    note(fmt::format("recovers=1 armed={} step={} holds={}", armed.value, armedStep.value, held.size()));
+    if (armed == map_version {} || armedStep == step_number {}) {
         enter(phase::disarming);
+        return;
     }
+    // All ranks may be armed, and a release be under way, though some reports are older than that. So nothing is undone
+    // unless a rank refuses to be armed.
+    m_version = armed;
+    m_step = armedStep;
+    m_recovers = true;
+    enter(phase::arming);
 }
 
 void map_controller::advanceIdle()
--- a/test/control-random-test.cc
+++ b/test/control-random-test.cc
@@ -197,6 +197,7 @@
             one.status.map = {};
             one.status.prepared = {};
             one.status.armed = {};
+            one.status.armedStep = {};
             one.status.held = {};
             one.status.orders = 0;
             one.highestVersion = 0;
--- a/test/engine-group.h
+++ b/test/engine-group.h
@@ -35,7 +35,6 @@
     engine_rank_status status;
     std::map<std::uint64_t, expert_lists> maps;
     std::uint64_t highestVersion = 0;
-    step_number armedStep;
     /** Calls of `load` that loading takes. */
     int loadingTicks = 0;
     int loadingLeft = 0;
@@ -73,13 +72,14 @@
                 return order_result::refused;
             }
             status.armed = order.version;
-            armedStep = order.step;
+            status.armedStep = order.step;
             return order_result::accepted;
         case rank_operation::disarm:
             if (status.armed != order.version) {
                 return order_result::refused;
             }
             status.armed = {};
+            status.armedStep = {};
             return order_result::accepted;
         case rank_operation::hold:
             if (groupStep >= order.step || status.held.value != 0) {
@@ -100,10 +100,11 @@
     void begin(step_number step)
     {
         status.step = step;
-        if (status.armed.value != 0 && step >= armedStep) {
+        if (status.armed.value != 0 && step >= status.armedStep) {
             status.map = status.armed;
             status.experts = maps[status.map.value];
             status.armed = {};
+            status.armedStep = {};
             status.prepared = {};
         }
     }
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -277,12 +277,12 @@
         m_beginsSteps = begins;
     }
 
-    /** Carries out so many orders of the controller, to which this rank says that it is not armed. */
-    void runWithStaleRank(rank_number stale, std::size_t orders)
+    /** Carries out so many orders of the controller, to which this rank says that it is not armed, or not loaded. */
+    void runWithStaleRank(rank_number stale, bool isLoadedThere, std::size_t orders)
     {
         for (int i = 0; i < 100 && orders > 0; ++i) {
             m_now += 10ms;
-            report(stale);
+            report(stale, isLoadedThere);
             for (auto pending = std::exchange(m_pending, {}); const auto &sent : pending) {
                 if (orders > 0) {
                     --orders;
@@ -293,7 +293,7 @@
     }
 
 private:
-    void report(std::optional<rank_number> stale)
+    void report(std::optional<rank_number> stale, bool isLoadedThere = true)
     {
         for (const auto &one : m_group.members()) {
             auto status = one.status;
@@ -301,7 +301,11 @@
                 set[0] = 100;
                 set[1] = 10;
             }
-            status.armed = status.rank == stale ? map_version {} : status.armed;
+            if (status.rank == stale) {
+                status.prepared = isLoadedThere ? status.prepared : map_version {};
+                status.armed = {};
+                status.armedStep = {};
+            }
             collect(m_controller.step(rank_reported { status }, m_now));
         }
     }
@@ -411,15 +415,17 @@
 {
     // Guards against ranks that are disarmed one by one while the release is carried out, because a report of one of
     // them is late.
-    for (std::size_t orders = 0; orders < 12; ++orders) {
-        INFO("orders of the successor before the release: " << orders);
+    for (std::size_t run = 0; run < 24; ++run) {
+        const std::size_t orders = run / 2;
+        const bool isLoadedThere = run % 2 == 0;
+        INFO("orders of the successor before the release: " << orders << ", old report says loaded: " << isLoadedThere);
         fake_group group(1);
         order_script predecessor(group, 1);
         predecessor.setBeginsSteps(true);
         const auto release = predecessor.runUntilOrder(rank_operation::go);
         REQUIRE(release);
         order_script successor(group, 100'001);
-        successor.runWithStaleRank(ranks - 1, orders);
+        successor.runWithStaleRank(ranks - 1, isLoadedThere, orders);
         (void)group.members()[release->rank].carryOut(release->order, group.currentStep());
         for (int i = 0; i < 4; ++i) {
             group.beginStep();
@@ -492,6 +498,7 @@
         one.status.map = {};
         one.status.prepared = {};
         one.status.armed = {};
+        one.status.armedStep = {};
         one.status.held = {};
         one.highestVersion = 0;
         one.status.experts.assign(sets, { one.status.rank, static_cast<std::uint32_t>(one.status.rank + ranks) });
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -250,6 +250,7 @@
     CHECK(status.rank == 3);
     CHECK(status.orders == 5);
     CHECK(status.armed.value == 8);
+    CHECK(status.armedStep.value == 47);
     CHECK(status.held.value == 48);
     REQUIRE(language.decodeChosen(R"({"counts":[1,2,3,4,5,6]})", 3, status));
     CHECK(status.chosen == group::expert_lists { { 1, 2 }, { 3, 4 }, { 5, 6 } });
