Pass nothing of a failure into a stream that goes on at another target

Callers: after a broken stream the text of an error in the middle of the stream, which then ended as if it were complete.

An answer to a resumed stream was taken for its continuation if it was an event stream, whatever its status, and its end for the end of the stream. A failure, a redirection or a success that is no event stream now ends the attempt at its head: the stream goes on elsewhere, or it is broken off.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -33,11 +33,18 @@
 constexpr double earliestReturn = 0.6;
 constexpr milliseconds unknownReturn { 1000 };
 constexpr int firstErrorStatus = 500;
+constexpr int firstSuccessStatus = 200;
+constexpr int firstRedirectStatus = 300;
 /** Time over which the rate of attempts is smoothed. */
 constexpr double rateSeconds = 1.0;
 /** This many requests may wait in any case, so that a quiet node has a queue. */
 constexpr double minWaiting = 1;
 
+bool isSuccess(int status)
+{
+    return status >= firstSuccessStatus && status < firstRedirectStatus;
+}
+
 } // namespace
 
 forwarder::forwarder(forwarder_settings settings)
@@ -391,10 +398,17 @@
     }
     m_pool.onProgress(attempt.target, m_now);
     const bool isStream
-        = state.where->kind == route_kind::stream && event.head.isEventStream && event.head.status < firstErrorStatus;
+        = state.where->kind == route_kind::stream && event.head.isEventStream && isSuccess(event.head.status);
     if (isStream && !state.streaming) {
         state.streaming = true;
         m_actions.emplace_back(start_event_stream { exchange, event.head });
+    } else if (state.streaming && !isStream) {
+        // No part of another answer may reach a caller that is in the middle of a stream.
+        m_actions.emplace_back(cancel_attempt { event.attempt });
+        state.runs += 1;
+        endAttempt(state, attempt_result::failed);
+        retryOrFail(exchange, state, true, result_code::engine_failed);
+        placeWaiting();
     }
 }
 
@@ -409,7 +423,7 @@
     m_pool.onProgress(attempt.target, m_now);
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
-    if (state.streaming && attempt.head->isEventStream) {
+    if (state.streaming) {
         auto &pace = m_paces[state.service];
         if (std::exchange(attempt.readsPrompt, false)) {
             m_pool.onPromptRead(attempt.target);
@@ -466,7 +480,7 @@
 void forwarder::finishAnswer(exchange_id exchange, request_state &state, answer_head head, std::string body)
 {
     if (state.streaming) {
-        const bool isWhole = head.isEventStream && !state.events.hasPartial();
+        const bool isWhole = !state.events.hasPartial();
         state.events.dropPartial();
         endAttempt(state, isWhole ? attempt_result::answered : attempt_result::failed);
         if (!isWhole) {
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -239,6 +239,47 @@
     CHECK(find<end_event_stream>(f.step(answer_ended { second })) != nullptr);
 }
 
+TEST_CASE("an error of the target that a broken stream goes on at does not reach the caller", "[forward]")
+{
+    // Guards against the text of an error in the middle of a caller's stream, and against a stream that ends with it as
+    // if it were complete.
+    for (const int status : { 500, 404, 301 }) {
+        for (const bool isEventStream : { true, false }) {
+            INFO(status << " as event stream: " << isEventStream);
+            fixture f;
+            const auto attempt = startedIn(f.arrive(1, streamPath));
+            f.startStream(attempt);
+            f.step(answer_bytes { attempt, "id: 1\ndata: a\n\n" });
+            const auto second = startedIn(f.step(attempt_broken { attempt, false }));
+            auto head = fixture::head(status);
+            head.isEventStream = isEventStream;
+            auto all = f.step(answer_started { second, head });
+            for (const auto &part :
+                 { f.step(answer_bytes { second, "data: out of memory\n\n" }), f.step(answer_ended { second }) }) {
+                all.insert(all.end(), part.begin(), part.end());
+            }
+            CHECK(find<send_events>(all) == nullptr);
+            CHECK(find<end_event_stream>(all) == nullptr);
+            CHECK(find<pass_answer>(all) == nullptr);
+            CHECK(find<break_answer>(all) != nullptr);
+        }
+    }
+}
+
+TEST_CASE("a stream that goes on at a target that does not stream is not ended as whole", "[forward]")
+{
+    // Guards against the same with a success that is no event stream.
+    fixture f;
+    const auto attempt = startedIn(f.arrive(1, streamPath));
+    f.startStream(attempt);
+    f.step(answer_bytes { attempt, "id: 1\ndata: a\n\n" });
+    const auto second = startedIn(f.step(attempt_broken { attempt, false }));
+    const auto all = f.answer(second, 200, "done");
+    CHECK(find<send_events>(all) == nullptr);
+    CHECK(find<end_event_stream>(all) == nullptr);
+    CHECK(find<break_answer>(all) != nullptr);
+}
+
 TEST_CASE("a stream that ends within an event does not look complete", "[forward]")
 {
     fixture f;
