Refuse registrations and reports with numbers out of range or deep nesting

Operators of similar systems saw one odd entry among those of the targets end the processes that read it, again and again. Here 4,294,967,297 slots became 1, a sequence near 2^64 made each later heartbeat of that target look older, a cold time of 1e300 ms was undefined, a rank of 4,294,967,299 became rank 3, and a body of brackets alone took memory for each level.

Ports out of range were refused before. Entries are not kept on disk, and processes pass them on only once they were read here.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -181,6 +181,63 @@
     CHECK_FALSE(language.decodeCall(makeCall("PUT", "/-/instances/i-1", noAddress)));
 }
 
+TEST_CASE("a heartbeat with a number out of range or with deep nesting is refused", "[platform]")
+{
+    // Guards against one odd entry that gives a target endless room, outdates its later heartbeats, keeps it cold for
+    // good, or takes the memory of a coordinator.
+    const auto decode = [](const std::string &from, const std::string &to) {
+        auto body = beat;
+        const auto at = body.find(from);
+        REQUIRE(at != std::string::npos);
+        body.replace(at, from.size(), to);
+        return language.decodeCall(makeCall("PUT", "/-/instances/i-1", body));
+    };
+    for (const auto *slots : { "4294967297", "-1", "1.5", "1e300", "\"12\"", "18446744073709551616", "0" }) {
+        INFO("slots " << slots);
+        CHECK_FALSE(decode("\"slots\":12", std::string("\"slots\":") + slots));
+    }
+    for (const auto *sequence : { "18446744073709551615", "18446744073709551616", "-4", "4.5", "1e300", "null" }) {
+        INFO("sequence " << sequence);
+        CHECK_FALSE(decode("\"seq\":4", std::string("\"seq\":") + sequence));
+    }
+    for (const auto *born : { "18446744073709551615", "-17", "17.5", "1e300", "[]" }) {
+        INFO("born " << born);
+        CHECK_FALSE(decode("\"born\":17", std::string("\"born\":") + born));
+        CHECK_FALSE(
+            language.decodeCall(makeCall("DELETE", "/-/instances/i-1", std::string(R"({"born":)") + born + "}")));
+    }
+    for (const auto *cold : { "1e300", "-1", "1e12", "\"soon\"" }) {
+        INFO("cold " << cold);
+        CHECK_FALSE(decode("\"cold-left-ms\":250.5", std::string("\"cold-left-ms\":") + cold));
+    }
+    for (const auto *address : { "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:99999999999999999999" }) {
+        INFO("address " << address);
+        CHECK_FALSE(decode("10.0.0.9:8080", address));
+    }
+    constexpr std::size_t deep = 1'000'000;
+    CHECK_FALSE(decode("\"version\":\"v1\"", "\"version\":" + std::string(deep, '[') + std::string(deep, ']')));
+    CHECK_FALSE(decode("\"version\":\"v1\"", "\"version\":" + std::string(deep, '[')));
+    // Brackets within a text are no nesting.
+    CHECK(decode("\"version\":\"v1\"", "\"version\":\"\\\"" + std::string(100, '[') + "\""));
+}
+
+TEST_CASE("a status of an engine with numbers out of range is refused", "[platform]")
+{
+    // Guards against the report of another rank, or of a group without end.
+    const auto decode = [](const std::string &rank, const std::string &size) {
+        group::engine_rank_status status;
+        return language
+            .decodeStatus(R"({"group":{"name":"g","epoch":1,"rank":)" + rank + R"(,"state":"open"},"size":)" + size
+                              + R"(,"seq":0})",
+                          status)
+            .has_value();
+    };
+    CHECK(decode("3", "12"));
+    CHECK_FALSE(decode("4294967299", "12"));
+    CHECK_FALSE(decode("3", "4294967308"));
+    CHECK_FALSE(decode("-1", "12"));
+}
+
 TEST_CASE("a configuration that is cut short is refused", "[platform]")
 {
     const std::string whole
