Believe a target that it did not run a request only where its answer names the request

Operators of similar systems saw a faulty server write an earlier refusal once more: callers were told 'not run, try again' for requests that had run, or such a request ran at a second server.

Fronts open a connection for each call, so a copy on a connection in use again cannot reach a caller here. But a refusal that named no request was believed, whatever it belonged to.

Two tests took a refusal without an id for one that can be believed, which is the fault; they now name the request, and check that one that names none is not believed and counts as spoiled.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -128,8 +128,8 @@
     CHECK(language.decodeHead(request, 200, { { "X-Figcleat-Attempt-Id", "id-1" } }).isSpoiled);
     CHECK(language.decodeHead(request, 200, { { "X-Figcleat-Attempt-Id", "id-2" }, sealed[1] }).isSpoiled);
     CHECK(language.decodeHead(request, 200, { sealed[0], sealed[1], { "Content-Encoding", "gzip" } }).isSpoiled);
-    CHECK(language.decodeHead(request, 503, { { "X-Figcleat-Not-Executed", "1" } }).notRun);
-    CHECK(language.decodeHead(request, 421, {}).notRun);
+    CHECK(language.decodeHead(request, 503, { sealed[0], { "X-Figcleat-Not-Executed", "1" } }).notRun);
+    CHECK(language.decodeHead(request, 421, { sealed[0] }).notRun);
     CHECK_FALSE(language.decodeHead(request, 504, sealed).notRun);
 }
 
@@ -141,14 +141,18 @@
     const std::pair<std::string, std::string> notRun { "X-Figcleat-Not-Executed", "1" };
     for (const int status : { 400, 421, 429, 503 }) {
         INFO(status);
-        CHECK(language.decodeHead(request, status, { notRun }).notRun);
+        CHECK(language.decodeHead(request, status, { notRun, { "X-Figcleat-Attempt-Id", "id-1" } }).notRun);
+        // An earlier refusal that was written once more need not name any request.
+        const auto unnamed = language.decodeHead(request, status, { notRun });
+        CHECK_FALSE(unnamed.notRun);
+        CHECK(unnamed.isSpoiled);
         const auto another = language.decodeHead(request, status, { notRun, { "X-Figcleat-Attempt-Id", "id-2" } });
         CHECK_FALSE(another.notRun);
         CHECK(another.isSpoiled);
     }
     for (const int status : { 200, 202, 404, 500, 502, 504 }) {
         INFO(status);
-        CHECK_FALSE(language.decodeHead(request, status, { notRun }).notRun);
+        CHECK_FALSE(language.decodeHead(request, status, { notRun, { "X-Figcleat-Attempt-Id", "id-1" } }).notRun);
     }
 }
 
