Begin no control again under the fence of one that ended

Callers: streams of a group break when a step begins while its ranks use two maps.

The answer to a renewal that arrived after the lease had ended, as after a cut, began the control again under the same fence, with the versions and order ids of the first one; an answer to an order of the first one then confirmed another order. The same fault as a grant to an earlier life of the agent, within one life.

An agent takes no grant with a fence that it has ended.

--- a/include/figcleat/daemon/group-control.h
+++ b/include/figcleat/daemon/group-control.h
@@ -106,6 +106,8 @@
 
     parts m_parts;
     time_point m_startedAt;
+    /** Of the last control that ended. */
+    fence_number m_endedFence;
     std::optional<control_tenure> m_tenure;
     std::vector<forward::engine_condition> m_engines;
     http_client_pool m_clients;
--- a/src/daemon/group-control.cc
+++ b/src/daemon/group-control.cc
@@ -77,6 +77,10 @@
     if (grant.fence == fence_number {} || own.group != grant.group || until <= now || isOlder) {
         return;
     }
+    if (!m_tenure && grant.fence <= m_endedFence) {
+        // A later control under the same fence would use its versions and order ids again.
+        return;
+    }
     if (askedAt < m_startedAt || askedAt > now) {
         // An earlier life of this agent asked; it may have given orders with this fence.
         logger()->warn("event=grant_refused group={} fence={} reason=earlier_life", grant.group.value,
@@ -112,6 +116,7 @@
 {
     logger()->warn("event=control group={} fence={} state=ended reason={}", m_tenure->seat.group.value,
                    m_tenure->fence.value, reason);
+    m_endedFence = m_tenure->fence;
     m_tenure.reset();
     m_engines.clear();
     m_directOrders.clear();
--- a/test/group-control-test.cc
+++ b/test/group-control-test.cc
@@ -204,3 +204,23 @@
         CHECK(to == peer_address { "10.0.1.1:7000" });
     }
 }
+
+TEST_CASE("a control that has ended does not begin again under the same fence", "[map]")
+{
+    // Guards against a second controller of the same process with the fence, versions and order ids of the first.
+    control_fixture f;
+    f.grant(5);
+    f.time.advance(1000ms);
+    const auto renewed = f.time.now();
+    f.time.advance(1001ms);
+    f.subject.tick();
+    REQUIRE_FALSE(f.subject.isActive());
+    // The answer to a renewal arrives after the end of the lease, for example after a cut.
+    group::control_grant given;
+    given.group = f.own.group;
+    given.fence = { 5 };
+    given.sentAt = renewed.time_since_epoch().count();
+    given.milliseconds = 2000;
+    f.subject.onGrant(f.own, given);
+    CHECK_FALSE(f.subject.isActive());
+}
