Confirm a hold only by an answer to an order with its step

Callers: streams of a group break when a step begins while its ranks use two maps.

When a hold was refused and the next step had been asked for, a report from before could make the controller choose another step; the answer to the order before then confirmed it. Ranks were armed for a step that nobody held.

Answers to orders with an earlier step are not waited for any more.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -777,6 +777,10 @@
 void map_controller::chooseStep()
 {
     // Never the same step twice: a release of an earlier hold may be carried out late.
+    for (auto &[number, rank] : m_ranks) {
+        // An answer to an order with the step before does not confirm this one.
+        rank.pending = {};
+    }
     m_step = { std::max({ furthestStep().value + m_stepMargin, m_step.value + 1, m_firstStep->value }) };
     const auto answers
         = std::find_if(m_ranks.begin(), m_ranks.end(), [](const auto &entry) { return !entry.second.agentSilent; });
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -292,6 +292,44 @@
         }
     }
 
+    /** Time passes; every rank but one reports. Returns the orders, which are not carried out. */
+    std::vector<send_order> tick(duration time = 10ms, std::optional<rank_number> unheard = {})
+    {
+        m_now += time;
+        for (const auto &one : m_group.members()) {
+            if (one.status.rank != unheard) {
+                auto status = one.status;
+                for (auto &set : status.chosen) {
+                    set[0] = 100;
+                    set[1] = 10;
+                }
+                hear(status);
+            }
+        }
+        return std::exchange(m_pending, {});
+    }
+
+    std::vector<send_order> hear(const engine_rank_status &status)
+    {
+        collect(m_controller.step(rank_reported { status }, m_now));
+        return m_pending;
+    }
+
+    void answer(const send_order &sent, order_result result)
+    {
+        collect(m_controller.step(order_answered { sent.rank, { sent.order.id, result } }, m_now));
+    }
+
+    [[nodiscard]] map_controller::phase phase() const
+    {
+        return m_controller.currentPhase();
+    }
+
+    std::vector<send_order> takePending()
+    {
+        return std::exchange(m_pending, {});
+    }
+
 private:
     void report(std::optional<rank_number> stale, bool isLoadedThere = true)
     {
@@ -433,6 +471,58 @@
     }
 }
 
+TEST_CASE("an answer to a hold confirms no other step", "[group][map]")
+{
+    // Guards against ranks that are armed for a step which nobody holds, while the step before it is released.
+    fake_group group(1);
+    order_script script(group, 100'001);
+    script.setBeginsSteps(true);
+    const auto hold = script.runUntilOrder(rank_operation::hold);
+    REQUIRE(hold);
+    auto &holder = group.members()[hold->rank];
+    // A late hold of an earlier controller.
+    const auto earlier = group.currentStep().next();
+    holder.status.held = earlier;
+    script.answer(*hold, holder.carryOut(hold->order, group.currentStep()));
+    std::vector<send_order> again;
+    for (int i = 0; i < 12 && again.empty(); ++i) {
+        again = script.tick(10ms, hold->rank);
+    }
+    REQUIRE(again.size() == 1);
+    REQUIRE(again.front().order.operation == rank_operation::hold);
+    // The release of the earlier controller; a report that is read then and arrives after the next hold.
+    holder.status.held = {};
+    const auto between = holder.status;
+    const auto result = holder.carryOut(again.front().order, group.currentStep());
+    REQUIRE(result == order_result::accepted);
+    script.hear(between);
+    script.answer(again.front(), result);
+    std::optional<send_order> arm;
+    std::optional<send_order> release;
+    auto orders = script.takePending();
+    for (int i = 0; i < 2; ++i) {
+        for (const auto &sent : orders) {
+            const bool isArm = sent.order.operation == rank_operation::arm;
+            if (isArm && !arm) {
+                arm = sent;
+                (void)group.members()[sent.rank].carryOut(sent.order, group.currentStep());
+            } else if (sent.order.operation == rank_operation::go) {
+                release = sent;
+                (void)group.members()[sent.rank].carryOut(sent.order, group.currentStep());
+            }
+        }
+        orders = script.tick();
+    }
+    if (arm) {
+        INFO("held " << again.front().order.step.value << " armed for " << arm->order.step.value << " released "
+                     << (release ? release->order.step.value : 0));
+        CHECK(arm->order.step == again.front().order.step);
+        for (int i = 0; i < 40; ++i) {
+            group.beginStep();
+        }
+    }
+}
+
 TEST_CASE("a map loads as many experts of a set as load in time", "[group][map]")
 {
     // Guards against groups that need several switches for a shift of demand though one would load in time.
