Release no step that was never held

Callers: streams of a group break when a step begins while its ranks use two maps.

A controller that waits for its group to begin more steps before it asks for a hold was frozen; when it woke it took the hold for unanswered and released a step further ahead than a successor counts on.

Only a hold that was asked for is given up.

--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -569,7 +569,7 @@
     } else if (m_phase == phase::switching && since >= switchTimeout && isClean()) {
         note(fmt::format("abandoned=1 version={} reason=not_switched", m_version.value));
         enter(phase::idle);
-    } else if (m_phase == phase::holding && since >= holdTimeout) {
+    } else if (m_phase == phase::holding && since >= holdTimeout && m_ranks.at(m_holder).sends > 0) {
         holdElsewhere();
     } else if (m_phase == phase::arming && areFresh(freshness) && !canArm()) {
         m_recovers = false;
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -471,6 +471,42 @@
     }
 }
 
+TEST_CASE("a controller that wakes releases no step that it never held", "[group][map]")
+{
+    // Guards against a release of a step beyond the bound that a successor counts on, carried out while that one arms.
+    fake_group group(1);
+    order_script first(group, 1);
+    for (int i = 0; i < 100; ++i) {
+        for (const auto &sent : first.tick()) {
+            first.answer(sent, group.members()[sent.rank].carryOut(sent.order, group.currentStep()));
+        }
+    }
+    REQUIRE(first.phase() == map_controller::phase::holding);
+    // Frozen for as long as it takes to replace a controller.
+    std::optional<send_order> release;
+    for (const auto &sent : first.tick(1200ms)) {
+        if (sent.order.operation == rank_operation::go) {
+            release = sent;
+        }
+    }
+    CHECK_FALSE(release);
+    if (!release) {
+        return;
+    }
+    order_script second(group, 100'001);
+    (void)second.tick();
+    // Requests come again; the first order to prepare is lost.
+    second.setBeginsSteps(true);
+    const auto arm = second.runUntilOrder(rank_operation::arm);
+    REQUIRE(arm);
+    INFO("released " << release->rank << ":" << release->order.step.value << " armed for " << arm->order.step.value);
+    (void)group.members()[arm->rank].carryOut(arm->order, group.currentStep());
+    (void)group.members()[release->rank].carryOut(release->order, group.currentStep());
+    for (int i = 0; i < 40; ++i) {
+        group.beginStep();
+    }
+}
+
 TEST_CASE("an answer to a hold confirms no other step", "[group][map]")
 {
     // Guards against ranks that are armed for a step which nobody holds, while the step before it is released.
