Disarm ranks only once their switch cannot be completed any more

Callers: streams of a group break when a step begins while its ranks use two maps.

A controller that found a hold and no armed rank disarmed what was armed late. It was replaced; its successor found the ranks armed or loaded and completed the switch, and the order to disarm was carried out after that, before the held step began.

A switch is now made void first: the ranks prepare the present map under a new version. A rank that refuses, as it was armed late, is disarmed only when another one has taken that version, since then no controller completes the switch. If all ranks are armed, it is completed.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -159,6 +159,8 @@
     [[nodiscard]] bool isHeld() const;
     [[nodiscard]] bool canArm() const;
     void recover();
+    void undoOrComplete();
+    void voidSwitch();
     void releaseHold();
     void reconsider(rank_state &rank);
     [[nodiscard]] bool isSettled(const rank_state &rank) const;
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -227,8 +227,8 @@
 {
     rank.sentAt = {};
     if (m_phase == phase::voiding && rank.status.armed != map_version {}) {
-        // An earlier order to arm was carried out after the one to disarm.
-        enter(phase::disarming);
+        // An earlier order to arm was carried out late.
+        undoOrComplete();
         return;
     }
     if (m_phase != phase::holding || isSettled(rank)) {
@@ -242,6 +242,21 @@
     chooseStep();
 }
 
+/**
+ * Ranks are disarmed only once another one has taken the map that makes the switch void: from then on no controller
+ * completes it, so that an order to disarm may be carried out late.
+ */
+void map_controller::undoOrComplete()
+{
+    const auto isVoid = [this](const auto &entry) { return isSettled(entry.second); };
+    const auto isArmed = [](const auto &entry) { return entry.second.status.armed != map_version {}; };
+    if (std::any_of(m_ranks.begin(), m_ranks.end(), isVoid)) {
+        enter(phase::disarming);
+    } else if (std::all_of(m_ranks.begin(), m_ranks.end(), isArmed)) {
+        recover();
+    }
+}
+
 void map_controller::handle(const map_tick & /*event*/)
 {
     advance();
@@ -528,10 +543,7 @@
         enter(phase::idle);
         break;
     case phase::disarming:
-        m_version = m_nextVersion;
-        m_nextVersion = m_nextVersion.next();
-        m_layers = presentMap().layers;
-        enter(phase::voiding);
+        voidSwitch();
         break;
     case phase::voiding:
         m_version = {};
@@ -542,6 +554,15 @@
     }
 }
 
+/** Has every rank prepare the present map under a new version, so that orders to arm an earlier one have no effect. */
+void map_controller::voidSwitch()
+{
+    m_version = m_nextVersion;
+    m_nextVersion = m_nextVersion.next();
+    m_layers = presentMap().layers;
+    enter(phase::voiding);
+}
+
 /** Lets the group begin the step that a rank holds. */
 void map_controller::releaseHold()
 {
@@ -597,7 +618,7 @@
     }
     note(fmt::format("recovers=1 armed={} step={} holds={}", armed.value, armedStep.value, held.size()));
     if (armed == map_version {} || armedStep == step_number {}) {
-        enter(phase::disarming);
+        voidSwitch();
         return;
     }
     // All ranks may be armed, and a release be under way, though some reports are older than that. So nothing is undone
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -471,6 +471,33 @@
     }
 }
 
+TEST_CASE("an order to disarm that is carried out late undoes no rank of a switch that is completed", "[group][map]")
+{
+    // Guards against a step with two maps: the second controller disarms what was armed late, the third one completes
+    // the switch, and the order to disarm is carried out before the held step begins.
+    fake_group group(1);
+    order_script first(group, 1);
+    first.setBeginsSteps(true);
+    const auto arm = first.runUntilOrder(rank_operation::arm);
+    REQUIRE(arm);
+    order_script second(group, 100'001);
+    (void)second.tick();
+    // The order of the first controller is carried out after the report to the second one.
+    REQUIRE(group.members()[arm->rank].carryOut(arm->order, group.currentStep()) == order_result::accepted);
+    const auto disarm = second.runUntilOrder(rank_operation::disarm);
+    if (!disarm) {
+        return;
+    }
+    order_script third(group, 200'001);
+    const auto release = third.runUntilOrder(rank_operation::go);
+    REQUIRE(release);
+    (void)group.members()[disarm->rank].carryOut(disarm->order, group.currentStep());
+    (void)group.members()[release->rank].carryOut(release->order, group.currentStep());
+    for (int i = 0; i < 40; ++i) {
+        group.beginStep();
+    }
+}
+
 TEST_CASE("a controller that wakes releases no step that it never held", "[group][map]")
 {
     // Guards against a release of a step beyond the bound that a successor counts on, carried out while that one arms.
