Send orders of a switch again sooner once one of them got no answer

A hold was asked for a few steps ahead; the rounds of orders to arm and to release took 50 ms (through the agent) to 120 ms (to the engine itself) each until the missing answers were given up, several of them one after the other, while the group stood. An engine that does not answer was also called directly, though its agent had told of the missing answer: slower, and priced.

Once an order of a switch got no answer, orders are sent again every 30 ms, and an answer to any of them counts, as all orders of a phase to a rank ask for the same. An agent is passed by only if the agent itself has not answered for 90 ms.

Ruled out: holding further ahead, which delays each switch. Not changed: what stands while a controller is replaced.

--- a/include/figcleat/group/map-controller.h
+++ b/include/figcleat/group/map-controller.h
@@ -129,7 +129,13 @@
         time_point heard {};
         /** Order of the present phase without an answer. */
         order_id pending;
+        /** First order of the present phase and step; 0 if none was sent. */
+        order_id firstOrder;
         time_point sentAt {};
+        /** When the first order was sent to which the agent has not answered. */
+        time_point askedAt {};
+        /** The latest order went to the engine itself. */
+        bool isDirect = false;
         /** Orders of the present phase that were sent. */
         std::uint32_t sends = 0;
         /** The rank has confirmed the present phase. */
--- a/src/group/map-controller.cc
+++ b/src/group/map-controller.cc
@@ -29,8 +29,8 @@
 constexpr duration orderTimeout = std::chrono::milliseconds(90);
 /** The same for an order with a map of about 6 KB for each rank, which two links of 6 Mbit/s carry in 0.15 s. */
 constexpr duration mapOrderTimeout = std::chrono::milliseconds(400);
-/** Orders through an agent before the engine is called itself, which costs more. */
-constexpr std::uint32_t agentTries = 1;
+/** The same once an order of the switch got no answer: copies do no harm, and a step may be held meanwhile. */
+constexpr duration repeatPeriod = std::chrono::milliseconds(30);
 /** Loading takes the link's time for the experts of one rank; beyond this the map is out of date. */
 constexpr duration prepareTimeout = std::chrono::seconds(6);
 /** A hold without an answer may stop the group, so it is taken back after this time, about when its step is reached. */
@@ -199,23 +199,30 @@
         rank.strayReleasedAt = {};
         return;
     }
-    if (rank.pending != event.answer.id) {
+    if (rank.firstOrder == order_id {} || event.answer.id < rank.firstOrder) {
         return;
     }
+    const bool isLatest = rank.pending == event.answer.id;
+    if (isLatest) {
+        rank.pending = {};
+    }
+    if (!rank.isDirect) {
+        rank.askedAt = {};
+    }
     switch (event.answer.result) {
     case order_result::accepted:
-        rank.pending = {};
+        // All orders of a phase to a rank ask for the same.
         rank.confirmed = true;
         break;
     case order_result::refused:
-        rank.pending = {};
-        rank.sentAt = m_now;
-        rank.refused = true;
-        ++rank.refusals;
+        if (!rank.confirmed) {
+            rank.sentAt = m_now;
+            rank.refused = true;
+            ++rank.refusals;
+        }
         break;
     case order_result::unknown:
-        rank.pending = {};
-        rank.sentAt = {};
+        rank.sentAt = isLatest ? time_point {} : rank.sentAt;
         ++m_unanswered;
         break;
     }
@@ -290,7 +297,9 @@
     m_since = m_now;
     for (auto &[number, rank] : m_ranks) {
         rank.pending = {};
+        rank.firstOrder = {};
         rank.sentAt = {};
+        rank.askedAt = {};
         rank.sends = 0;
         rank.confirmed = false;
         rank.refused = false;
@@ -367,13 +376,15 @@
     m_lastOrder = m_lastOrder.next();
     order.id = m_lastOrder;
     to.pending = order.id;
+    to.firstOrder = to.firstOrder == order_id {} ? order.id : to.firstOrder;
+    to.askedAt = to.askedAt == time_point {} ? m_now : to.askedAt;
     to.sentAt = m_now;
     // While a step is held or ranks are armed the group may come to a stop, so a silent agent is passed by.
     const bool isUrgent = m_phase == phase::arming || m_phase == phase::releasing;
-    to.agentSilent = to.agentSilent || to.sends >= agentTries;
-    const bool directly = isUrgent && to.agentSilent;
+    to.agentSilent = to.agentSilent || m_now - to.askedAt >= orderTimeout;
+    to.isDirect = isUrgent && to.agentSilent;
     to.sends += 1;
-    m_actions.emplace_back(send_order { rank, std::move(order), directly });
+    m_actions.emplace_back(send_order { rank, std::move(order), to.isDirect });
 }
 
 void map_controller::sendToUnsettled()
@@ -407,7 +418,10 @@
 
 duration map_controller::answerTimeout() const
 {
-    return m_phase == phase::preparing || m_phase == phase::voiding ? mapOrderTimeout : orderTimeout;
+    if (m_phase == phase::preparing || m_phase == phase::voiding) {
+        return mapOrderTimeout;
+    }
+    return m_unanswered > 0 ? repeatPeriod : orderTimeout;
 }
 
 void map_controller::spread(const std::vector<rank_number> &to)
@@ -424,7 +438,10 @@
         auto &rank = m_ranks.at(number);
         m_lastOrder = m_lastOrder.next();
         rank.pending = m_lastOrder;
+        rank.firstOrder = rank.firstOrder == order_id {} ? m_lastOrder : rank.firstOrder;
+        rank.askedAt = rank.askedAt == time_point {} ? m_now : rank.askedAt;
         rank.sentAt = m_now;
+        rank.isDirect = false;
         rank.sends += 1;
         sent.to.push_back({ number, {}, m_lastOrder, rank.status.orders });
     }
@@ -801,6 +818,7 @@
     for (auto &[number, rank] : m_ranks) {
         // An answer to an order with the step before does not confirm this one.
         rank.pending = {};
+        rank.firstOrder = {};
     }
     m_step = { std::max({ furthestStep().value + m_stepMargin, m_step.value + 1, m_firstStep->value }) };
     const auto answers
--- a/test/map-controller-test.cc
+++ b/test/map-controller-test.cc
@@ -30,6 +30,7 @@
         m_firstVersion += 1'000'000;
         m_controller.emplace(map_controller_settings { makeModel(), m_firstVersion });
         m_answers.clear();
+        m_timeouts.clear();
     }
 
     void run(int ticks)
@@ -41,11 +42,18 @@
                 one.load();
             }
             if (i % m_stepTicks == 0) {
+                const auto before = m_group.currentStep();
                 m_group.beginStep();
+                m_standing = m_group.currentStep() == before ? m_standing + 10ms * m_stepTicks : 0ms;
+                m_stood += m_standing > 0ms ? 10ms * m_stepTicks : 0ms;
             }
             for (auto &answer : std::exchange(m_answers, {})) {
                 act(m_controller->step(answer, m_now));
             }
+            while (!m_timeouts.empty() && m_timeouts.begin()->first <= m_now) {
+                const auto answer = m_timeouts.extract(m_timeouts.begin()).mapped();
+                act(m_controller->step(answer, m_now));
+            }
             if (i % 10 == 0) {
                 for (auto &one : m_group.members()) {
                     if (m_frozenAgent == one.status.rank) {
@@ -111,6 +119,19 @@
         return static_cast<double>(m_holdDistance) / static_cast<double>(std::max<std::uint64_t>(1, m_holds));
     }
 
+    /** Time after which a call to an engine without an answer is given up. */
+    void setTimeouts(duration ofAgent, duration direct)
+    {
+        m_agentTimeout = ofAgent;
+        m_directTimeout = direct;
+    }
+
+    /** Time in which the group would have begun steps but for a hold. */
+    [[nodiscard]] duration stood() const
+    {
+        return m_stood;
+    }
+
     /** Holds through the agent of that rank reach neither the engine nor an answer. */
     void loseHolds(rank_number rank)
     {
@@ -168,7 +189,8 @@
         if (std::uniform_real_distribution<double>(0, 1)(m_group.random()) < m_lateShare) {
             const auto delay = std::chrono::milliseconds(m_group.random()() % 4000);
             m_late.push_back({ sent.rank, sent.order, m_now + delay });
-            m_answers.push_back(order_answered { sent.rank, { sent.order.id, order_result::unknown } });
+            m_timeouts.emplace(m_now + (sent.directly ? m_directTimeout : m_agentTimeout),
+                               order_answered { sent.rank, { sent.order.id, order_result::unknown } });
             return;
         }
         const auto result = rank.carryOut(sent.order, m_group.currentStep());
@@ -192,6 +214,11 @@
     std::uint64_t m_firstVersion = 0;
     std::optional<map_controller> m_controller;
     std::vector<map_event> m_answers;
+    std::multimap<time_point, map_event> m_timeouts;
+    duration m_agentTimeout {};
+    duration m_directTimeout {};
+    duration m_standing {};
+    duration m_stood {};
     std::vector<late_order> m_late;
     std::optional<rank_number> m_frozenAgent;
     std::optional<rank_number> m_losesHolds;
@@ -412,6 +439,26 @@
     }
 }
 
+TEST_CASE("a group stands for a part of a step for each switch while half of the orders get no answer", "[group][map]")
+{
+    // Guards against a group that is held for rounds of orders, each as long as the time-out of a call.
+    duration stood {};
+    std::uint64_t switches = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        world w(seed, 0.5);
+        w.setTimeouts(50ms, 120ms);
+        for (int round = 0; round < 10; ++round) {
+            w.run(250);
+            w.group().shiftDemand();
+        }
+        stood += w.stood();
+        switches += w.controller().switches();
+    }
+    REQUIRE(switches > 0);
+    INFO("stood " << std::chrono::duration<double>(stood).count() << " s, switches " << switches);
+    CHECK(stood / static_cast<duration::rep>(switches) < 50ms);
+}
+
 TEST_CASE("a new controller finishes or undoes the switch of its predecessor", "[group][map]")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
