Send each order to an engine over a connection of its own

Callers would see a group compute with two maps in one step (rule MAP): a hold or an arm that the engine refused, or never answered, counted as accepted.

The agent read the state of its engine and passed orders on over the same kept connections. A faulty server may write an earlier answer once more where the next one is expected. The client then takes the copy for the answer of the call that is open, and nothing in the answer to an order names the order: its status 200 is enough.

Ruled out: bytes that arrive while a kept connection is idle (the client closes it, http-client-test), and orders that the controller sends to engines itself (group-control.cc keeps no connection). Both clients of the agent draw from one series of attempt ids and share the table of open calls, so that no answer can meet another call.

Orders now have a client without kept connections, so the only answer that can arrive for one is its own. Such a connection counts towards the connections that an engine accepts; an order that gets none is unanswered, as before.

Readings keep their connections, and a reading can still take a copy of an older report. The controller drops a report of an earlier epoch, with fewer orders, or of an earlier step. What is left is a copy from before an order that the engine does not count, while the step stands still: it could end disarming or releasing early. A copy of older choices only misleads the estimate of demand, one of another kind of answer cannot be read. This is from reading the code and is open; whether a new connection for each report costs reports while an engine is full was not measured.

agent-process-test on the code before: all 6 orders had status 200, where the engines refused or left open each of them. With the change 4 were refused and 2 unanswered, and no order shared a connection.

--- a/include/figcleat/daemon/agent-node.h
+++ b/include/figcleat/daemon/agent-node.h
@@ -52,8 +52,8 @@
     void onAnswerEnd(attempt_id attempt) override;
     void onFailure(attempt_id attempt, bool notSent) override;
 
-    /** Calls the engine; status 0 means that there was no answer. */
-    void call(const service_call &what, answer_function onAnswer);
+    /** Calls the engine through this client; status 0 means that there was no answer. */
+    void call(http_client &client, const service_call &what, answer_function onAnswer);
     void finish(attempt_id attempt, bool isWhole);
 
     void receive(const envelope &received) override;
@@ -80,7 +80,9 @@
     void readLists();
     void report();
 
-    std::unique_ptr<http_client> m_engine;
+    std::unique_ptr<http_client> m_readings;
+    /** The answer to an order does not name it, so each order has a connection that carries no other answer. */
+    std::unique_ptr<http_client> m_orderCalls;
     std::map<attempt_id, open_call> m_calls;
     attempt_number m_lastCall;
     /** Empty until the engine has said that it belongs to a group. */
--- a/src/daemon/agent-node.cc
+++ b/src/daemon/agent-node.cc
@@ -87,15 +87,17 @@
     if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
         return opened;
     }
-    const http_client_settings client { .connectTimeout = engineTimeout,
-                                        .firstByteTimeout = engineTimeout,
-                                        .progressTimeout = engineTimeout,
-                                        .endOfConnectionIsEnd = false,
-                                        .keepHost = false,
-                                        .keepAlive = true,
-                                        .maxBodyBytes = maxAnswerBytes };
-    m_engine
-        = std::make_unique<http_client>(m_loop->base(), m_settings.engine->ip, m_settings.engine->port, client, *this);
+    http_client_settings client { .connectTimeout = engineTimeout,
+                                  .firstByteTimeout = engineTimeout,
+                                  .progressTimeout = engineTimeout,
+                                  .endOfConnectionIsEnd = false,
+                                  .keepHost = false,
+                                  .keepAlive = true,
+                                  .maxBodyBytes = maxAnswerBytes };
+    const auto &engine = *m_settings.engine;
+    m_readings = std::make_unique<http_client>(m_loop->base(), engine.ip, engine.port, client, *this);
+    client.keepAlive = false;
+    m_orderCalls = std::make_unique<http_client>(m_loop->base(), engine.ip, engine.port, client, *this);
     m_relayDue = m_loop->deferred([this] { relayReports(); });
     m_loop->every(pollPeriod, [this] { poll(); });
     m_loop->every(controlPeriod, [this] { m_groupControl.tick(); });
@@ -135,12 +137,12 @@
     }
 }
 
-void agent_node::call(const service_call &what, answer_function onAnswer)
+void agent_node::call(http_client &client, const service_call &what, answer_function onAnswer)
 {
     m_lastCall = m_lastCall.next();
     const attempt_id attempt { m_incarnation, m_lastCall };
     m_calls[attempt].onAnswer = std::move(onAnswer);
-    m_engine->start(attempt, what);
+    client.start(attempt, what);
 }
 
 void agent_node::onAnswerStart(attempt_id attempt, int status, const http_headers & /*headers*/)
@@ -296,7 +298,7 @@
     // Of the map only the ranks' experts are needed later, and it is long.
     auto order = command.order;
     order.map.clear();
-    call(m_dialect->orderCall(command.order),
+    call(*m_orderCalls, m_dialect->orderCall(command.order),
          [this, from, order, fence = command.fence](int status, const std::string &body) {
              const auto result = status == 0 ? group::order_result::unknown : m_dialect->decodeOrderResult(status);
              ++m_orders[result];
@@ -348,7 +350,7 @@
     if (std::exchange(m_readsStatus, true)) {
         return;
     }
-    call(m_dialect->statusCall(), [this](int status, const std::string &body) { onStatus(status, body); });
+    call(*m_readings, m_dialect->statusCall(), [this](int status, const std::string &body) { onStatus(status, body); });
 }
 
 void agent_node::onStatus(int status, const std::string &body)
@@ -397,7 +399,7 @@
     if (std::exchange(m_readsLists, true)) {
         return;
     }
-    call(m_dialect->expertsCall(true), [this](int /*status*/, const std::string &body) {
+    call(*m_readings, m_dialect->expertsCall(true), [this](int /*status*/, const std::string &body) {
         m_readsLists = false;
         if (const auto decoded = m_dialect->decodeLists(body, *m_status); !decoded) {
             logger()->warn("event=lists_unreadable reason={}", decoded.error().detail);
@@ -409,7 +411,7 @@
 
 void agent_node::readChosen()
 {
-    call(m_dialect->expertsCall(false), [this](int /*status*/, const std::string &body) {
+    call(*m_readings, m_dialect->expertsCall(false), [this](int /*status*/, const std::string &body) {
         if (const auto decoded = m_dialect->decodeChosen(body, m_status->experts.size(), *m_status); !decoded) {
             logger()->warn("event=choices_unreadable reason={}", decoded.error().detail);
         } else {
