Send nothing further to a target that says in its answers that it leaves

The users' targets say `Server-Leaving: 1` in every answer once they leave. Nothing read it: until a registration told of it, new requests, second tries, queued requests and resumed streams went to the target, which cuts off what it does not finish in time. A front out of touch with the coordinators never learned of it.

The adapter decodes the header into a notice of the answer's head, on any status, also of a refusal. An answer that names another request or none says nothing, nor does a 421, which is another target's answer. The pool keeps the notice with the life of the target (id and start as registered when the attempt started) and takes this life for not open, as one that is draining. A later start or another id at the address is used at once, and a late answer of an earlier life says nothing about the present one. Where all targets leave, requests, also those in the queue, are refused at once as for no target. A silent or slow stream stays where it is if no other target is open to go on with it.

State: one life per record of a target, which goes with the directory's entry. A reload of routes does not clear it.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -63,6 +63,8 @@
     bool isSpoiled = false;
     bool isEventStream = false;
     std::optional<target_load> load;
+    /** Only from an answer to this request of the target that was asked. */
+    std::vector<target_notice> notices;
 };
 
 /** One attempt to run a request at a target. */
@@ -271,7 +273,8 @@
     struct attempt_state
     {
         exchange_id exchange;
-        target_id target;
+        /** As the target was registered when the attempt started. */
+        target_life life;
         time_point startedAt {};
         time_point lastProgress {};
         std::optional<answer_head> head;
@@ -323,6 +326,8 @@
     void handle(const attempt_broken &event);
     void handle(const forward_tick &event);
 
+    /** Acts on the answer as far as it concerns the request. */
+    void judgeAnswer(const answer_started &event, attempt_state &attempt);
     [[nodiscard]] std::optional<refusal> admit(request_state &state, const caller_request &request);
     [[nodiscard]] service_id pickService(const route &where);
     /** Starts an attempt, or leaves the request waiting, or refuses it. */
--- a/include/figcleat/forward/target-directory.h
+++ b/include/figcleat/forward/target-directory.h
@@ -33,6 +33,16 @@
     MSGPACK_DEFINE(startedMs, sequence)
 };
 
+/** One life of a target: a target that starts again, with its id or another one, begins a new life. */
+struct target_life
+{
+    target_id target {};
+    /** Start of the target in Unix milliseconds; 0 if it did not say. */
+    std::int64_t startedMs = 0;
+
+    bool operator==(const target_life &) const = default;
+};
+
 /** What a target said of itself in its latest registration. */
 struct registration
 {
@@ -47,6 +57,11 @@
     /** How much longer the target stays cold, as of when this was sent. */
     std::int64_t coldLeftMs = 0;
 
+    [[nodiscard]] target_life life() const
+    {
+        return { target, order.startedMs };
+    }
+
     MSGPACK_DEFINE(target, order, state, service, address, dataCentre, slots, coldLeftMs)
 };
 
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <variant>
 
 namespace figcleat::forward
 {
@@ -35,6 +36,15 @@
     abandoned,
 };
 
+/** The target ends after what runs there; it wants no further requests. */
+struct leaving_notice
+{
+    bool operator==(const leaving_notice &) const = default;
+};
+
+/** What a target says of itself in an answer, whatever the answer says of the request. */
+using target_notice = std::variant<leaving_notice>;
+
 struct pool_settings
 {
     data_centre_id dataCentre;
@@ -99,7 +109,7 @@
      */
     [[nodiscard]] expected<directory_entry> choose(const service_id &service, const std::set<target_id> &excluded,
                                                    const choice_limits &limits, time_point now);
-    /** True if `target` may still get requests: ready, its data centre in service. */
+    /** True if the target may still get requests: ready, its data centre in service, and it did not say it leaves. */
     [[nodiscard]] bool isOpen(const directory_entry &entry) const;
 
     /** @param readsPrompt the target reads a prompt until `onProgress` */
@@ -120,11 +130,13 @@
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
     void onLoad(const target_id &target, const target_load &load, time_point now);
+    /** @param life that an answer is of; what an earlier life said does not hold for the present one */
+    void onNotice(const target_life &life, const target_notice &notice);
 
     /** A target that delays the others of its group so much that its streams are better moved. */
     [[nodiscard]] bool isSlow(const target_id &target, time_point now) const;
-    /** No target of the service is open, or the groups of all that are open are known to be broken. */
-    [[nodiscard]] bool isOut(const service_id &service, time_point now) const;
+    /** No other target of the service is open, or the groups of all that are open are known to be broken. */
+    [[nodiscard]] bool isOut(const service_id &service, const std::set<target_id> &excluded, time_point now) const;
     /** Targets of the service that answered something within `window`. */
     [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
     /** Requests at targets of the service, and the places that they have. */
@@ -135,9 +147,17 @@
     void forgetUnknown();
 
 private:
+    /** What a life of a target said of itself; void for every other life. */
+    struct life_notices
+    {
+        target_life life;
+        bool isLeaving = false;
+    };
+
     struct target_record
     {
         std::uint32_t inFlight = 0;
+        life_notices notices;
         /** The group of the target is broken. */
         bool isBroken = false;
         /** Time that the target takes for its work relative to a sound one. */
@@ -169,6 +189,7 @@
     /** One of the candidates with the lowest scores. */
     [[nodiscard]] const directory_entry *pick(std::vector<candidate> &candidates);
     [[nodiscard]] bool knowsEngines(time_point now) const;
+    void apply(life_notices &notices, const leaving_notice &notice) const;
     [[nodiscard]] double load(const target_record &record, time_point now) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -179,7 +179,7 @@
         startAttempt(exchange, state, *target);
         return;
     }
-    const bool isHopeless = m_pool.isOut(state.service, m_now) || (!state.isWaiting && isQueueFull(state));
+    const bool isHopeless = m_pool.isOut(state.service, {}, m_now) || (!state.isWaiting && isQueueFull(state));
     if (m_now >= state.waitUntil || isHopeless) {
         giveUp(exchange, state, target.error().code);
         return;
@@ -200,7 +200,7 @@
     state.firstSent = state.firstSent.value_or(m_now);
     attempt_state attempt;
     attempt.exchange = exchange;
-    attempt.target = target.what.target;
+    attempt.life = target.what.life();
     attempt.startedAt = m_now;
     attempt.lastProgress = m_now;
     attempt.readsPrompt = state.where->kind == route_kind::stream;
@@ -320,7 +320,7 @@
 {
     const auto found = m_attempts.find(std::exchange(state.current, {}));
     if (found != m_attempts.end()) {
-        m_pool.onEnded(found->second.target, result, found->second.readsPrompt, m_now);
+        m_pool.onEnded(found->second.life.target, result, found->second.readsPrompt, m_now);
         m_attempts.erase(found);
     }
     countHeld(state);
@@ -373,14 +373,26 @@
     if (found == m_attempts.end()) {
         return;
     }
-    auto &attempt = found->second;
+    // Before anything is placed because of this answer.
+    for (const auto &notice : event.head.notices) {
+        m_pool.onNotice(found->second.life, notice);
+    }
+    judgeAnswer(event, found->second);
+    if (!event.head.notices.empty()) {
+        // Refuses those that wait for a target that is out now.
+        placeWaiting();
+    }
+}
+
+void forwarder::judgeAnswer(const answer_started &event, attempt_state &attempt)
+{
     attempt.lastProgress = m_now;
     attempt.head = event.head;
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
     state.headers = m_now - attempt.startedAt;
     if (event.head.load) {
-        m_pool.onLoad(attempt.target, *event.head.load, m_now);
+        m_pool.onLoad(attempt.life.target, *event.head.load, m_now);
     }
     if (event.head.isSpoiled) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
@@ -396,7 +408,7 @@
                     event.head.isOtherTarget ? result_code::target_lost : result_code::target_at_limit);
         return;
     }
-    m_pool.onProgress(attempt.target, m_now);
+    m_pool.onProgress(attempt.life.target, m_now);
     const bool isStream
         = state.where->kind == route_kind::stream && event.head.isEventStream && isSuccess(event.head.status);
     if (isStream && !state.streaming) {
@@ -420,13 +432,13 @@
     }
     auto &attempt = found->second;
     const duration pause = m_now - std::exchange(attempt.lastProgress, m_now);
-    m_pool.onProgress(attempt.target, m_now);
+    m_pool.onProgress(attempt.life.target, m_now);
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
     if (state.streaming) {
         auto &pace = m_paces[state.service];
         if (std::exchange(attempt.readsPrompt, false)) {
-            m_pool.onPromptRead(attempt.target);
+            m_pool.onPromptRead(attempt.life.target);
         } else {
             pace.onPause(pause, state.where->maxGap, m_now);
         }
@@ -559,8 +571,10 @@
     if (found == m_attempts.end() || !isIdempotent(state) || state.runs + 1 >= state.where->attempts) {
         return;
     }
-    const bool isSlow = state.streaming && m_pool.isSlow(found->second.target, m_now);
-    if (isSlow && !m_pool.isOut(state.service, m_now) && takeRepeat(state.service)) {
+    if (m_pool.isOut(state.service, { found->second.life.target }, m_now)) {
+        return;
+    }
+    if (state.streaming && m_pool.isSlow(found->second.life.target, m_now) && takeRepeat(state.service)) {
         move(exchange, state, "slow");
         return;
     }
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -92,7 +92,12 @@
 
 bool target_pool::isOpen(const directory_entry &entry) const
 {
-    return entry.what.state == registration_state::ready && !m_evacuated.contains(entry.what.dataCentre);
+    if (entry.what.state != registration_state::ready || m_evacuated.contains(entry.what.dataCentre)) {
+        return false;
+    }
+    const auto record = m_records.find(entry.what.target);
+    return record == m_records.end() || !record->second.notices.isLeaving
+        || record->second.notices.life != entry.what.life();
 }
 
 double target_pool::load(const target_record &record, time_point now) const
@@ -288,6 +293,24 @@
     record.othersAt = now;
 }
 
+void target_pool::onNotice(const target_life &life, const target_notice &notice)
+{
+    const auto *entry = m_directory->find(life.target);
+    if (entry == nullptr || entry->what.life() != life) {
+        return;
+    }
+    auto &notices = m_records[life.target].notices;
+    if (notices.life != life) {
+        notices = { .life = life };
+    }
+    std::visit([&](const auto &said) { apply(notices, said); }, notice);
+}
+
+void target_pool::apply(life_notices &notices, const leaving_notice & /*notice*/) const
+{
+    notices.isLeaving = true;
+}
+
 bool target_pool::knowsEngines(time_point now) const
 {
     return m_enginesHeard != time_point {} && now - m_enginesHeard <= engineSilence;
@@ -299,10 +322,10 @@
     return knowsEngines(now) && record != m_records.end() && record->second.pace >= slowPace;
 }
 
-bool target_pool::isOut(const service_id &service, time_point now) const
+bool target_pool::isOut(const service_id &service, const std::set<target_id> &excluded, time_point now) const
 {
     return std::none_of(m_directory->entries().begin(), m_directory->entries().end(), [&](const auto &one) {
-        if (one.second.what.service != service || !isOpen(one.second)) {
+        if (one.second.what.service != service || !isOpen(one.second) || excluded.contains(one.first)) {
             return false;
         }
         const auto record = m_records.find(one.first);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -317,3 +317,42 @@
     CHECK(status.chosen == group::expert_lists { { 1, 2 }, { 3, 4 }, { 5, 6 } });
     CHECK_FALSE(language.decodeStatus(R"({"phase":"mixed"})", status));
 }
+
+TEST_CASE("a target says that it leaves only in an answer to the request", "[platform][leaving]")
+{
+    // Guards against requests to a target that leaves, and against a sound one that is taken out by an answer that
+    // belongs to another request or comes from another target at its address.
+    forward::caller_request request;
+    request.id = { "id-1" };
+    const std::vector<forward::target_notice> leaving { forward::leaving_notice {} };
+    const std::pair<std::string, std::string> echo { "X-Figcleat-Attempt-Id", "id-1" };
+    const auto notices = [&](int status, const http_headers &headers) {
+        return language.decodeHead(request, status, headers).notices;
+    };
+    for (const int status : { 200, 302, 400, 404, 429, 500, 503, 504 }) {
+        INFO(status);
+        CHECK(notices(status, { echo, { "Server-Leaving", "1" } }) == leaving);
+        CHECK(notices(status, { { "Server-Leaving", "1" } }).empty());
+        CHECK(notices(status, { { "X-Figcleat-Attempt-Id", "id-2" }, { "Server-Leaving", "1" } }).empty());
+    }
+    CHECK(notices(421, { echo, { "Server-Leaving", "1" } }).empty());
+    for (const auto *name : { "server-leaving", "SERVER-LEAVING" }) {
+        CHECK(notices(200, { echo, { name, "1" } }) == leaving);
+    }
+    for (const auto *value : { " 1", "1\t", "0, 1" }) {
+        CHECK(notices(200, { echo, { "Server-Leaving", value } }) == leaving);
+    }
+    for (const auto *value : { "", "0", "11", "-1", "yes" }) {
+        CHECK(notices(200, { echo, { "Server-Leaving", value } }).empty());
+    }
+    CHECK(notices(200, { echo, { "Server-Leaving", "0" }, { "Server-Leaving", "1" } }) == leaving);
+    CHECK(notices(200, { echo, { "Server-Leaving", "1" }, { "Server-Leaving", "0" } }) == leaving);
+    // A request without an id cannot be named.
+    CHECK(language.decodeHead({}, 200, { { "Server-Leaving", "1" } }).notices.empty());
+}
+
+TEST_CASE("the caller is told as well that a target leaves", "[platform][leaving]")
+{
+    const std::pair<std::string, std::string> header { "Server-Leaving", "1" };
+    CHECK(language.decodeHead({}, 200, { header }).headers == http_headers { header });
+}
