--- a/src/daemon/group-control.cc
+++ b/src/daemon/group-control.cc
@@ -102,6 +102,7 @@
 {
     ++m_appointments;
     m_engines.clear();
+    m_directOrders.clear();
     m_tenure.emplace();
     m_tenure->seat = own;
     m_tenure->fence = grant.fence;
