Leave a target alone for as long as its refusals ask

A 503 of a target may carry `Retry-After`. Nothing read it: the refusal counted as any other, so the target got the next requests at once until three in a row had failed, and then again after at most one second, each to be refused and sent on. Callers for whom no target was left were told a return time that had nothing to do with the targets'.

The adapter decodes the time into a notice beside the one for leaving: decimal seconds, rounded up to milliseconds and cut at 60 s. A date, a sign, an exponent, a value that is not a number, an empty one and 0 are ignored; of several the longest counts; 421, statuses other than 503 and answers that do not name the request say nothing. The pool keeps the end of the rest with the life of the target and chooses it for nothing before; a shorter rest does not end a longer one. Nodes return spread over a tenth of the rest, at most 0.5 s. After it the target gets one request at a time until an answer to one that started after the rest begins well. The blocks after failures in a row stay as they are beside it.

Where all open targets rest, requests are refused at once, also those in the queue, and callers return from the end of the first rest on, if they honour as much, else as before. A stream in progress waits for a rest that ends in time.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -273,9 +273,8 @@
     struct attempt_state
     {
         exchange_id exchange;
-        /** As the target was registered when the attempt started. */
-        target_life life;
-        time_point startedAt {};
+        /** With the target as it was registered then. */
+        started_attempt started;
         time_point lastProgress {};
         std::optional<answer_head> head;
         std::string body;
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -42,8 +42,28 @@
     bool operator==(const leaving_notice &) const = default;
 };
 
+/**
+ * The target turned a request away and wants no other for a while.
+ *
+ * The end of the attempt counts beside it: a target gets requests when neither its rest nor a block after failures
+ * forbids it.
+ */
+struct rest_notice
+{
+    duration left {};
+
+    bool operator==(const rest_notice &) const = default;
+};
+
 /** What a target says of itself in an answer, whatever the answer says of the request. */
-using target_notice = std::variant<leaving_notice>;
+using target_notice = std::variant<leaving_notice, rest_notice>;
+
+/** An attempt as far as a pool needs to know it. */
+struct started_attempt
+{
+    target_life life;
+    time_point startedAt {};
+};
 
 struct pool_settings
 {
@@ -113,7 +133,7 @@
     [[nodiscard]] bool isOpen(const directory_entry &entry) const;
 
     /** @param readsPrompt the target reads a prompt until `onProgress` */
-    void onStarted(const target_id &target, bool readsPrompt);
+    void onStarted(const target_life &life, bool readsPrompt);
     /**
      * What all other nodes have at targets; nothing if it is not known.
      *
@@ -124,19 +144,23 @@
     /** What this node has at targets. */
     [[nodiscard]] std::vector<target_use> ownLoad() const;
     /** @param readsPrompt there was no `onProgress` with the prompt read */
-    void onEnded(const target_id &target, attempt_result result, bool readsPrompt, time_point now);
+    void onEnded(const started_attempt &attempt, attempt_result result, bool readsPrompt, time_point now);
+    /** The target began an answer that is no failure. */
+    void onAccepted(const started_attempt &attempt);
     /** The target has read a prompt. */
     void onPromptRead(const target_id &target);
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
     void onLoad(const target_id &target, const target_load &load, time_point now);
     /** @param life that an answer is of; what an earlier life said does not hold for the present one */
-    void onNotice(const target_life &life, const target_notice &notice);
+    void onNotice(const target_life &life, const target_notice &notice, time_point now);
 
     /** A target that delays the others of its group so much that its streams are better moved. */
     [[nodiscard]] bool isSlow(const target_id &target, time_point now) const;
-    /** No other target of the service is open, or the groups of all that are open are known to be broken. */
+    /** No other target of the service is open, or those that are open rest or have a group known to be broken. */
     [[nodiscard]] bool isOut(const service_id &service, const std::set<target_id> &excluded, time_point now) const;
+    /** When the first target of the service ends its rest; nothing if one that is open does not rest. */
+    [[nodiscard]] std::optional<time_point> firstRestEnd(const service_id &service, time_point now) const;
     /** Targets of the service that answered something within `window`. */
     [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
     /** Requests at targets of the service, and the places that they have. */
@@ -152,6 +176,12 @@
     {
         target_life life;
         bool isLeaving = false;
+        /** Gets no request before. */
+        time_point restEnd {};
+        /** Has not answered well since its rest, so it gets one request at a time. */
+        bool isReturning = false;
+        /** Requests in flight that started after the rest. */
+        std::uint32_t probes = 0;
     };
 
     struct target_record
@@ -189,7 +219,11 @@
     /** One of the candidates with the lowest scores. */
     [[nodiscard]] const directory_entry *pick(std::vector<candidate> &candidates);
     [[nodiscard]] bool knowsEngines(time_point now) const;
-    void apply(life_notices &notices, const leaving_notice &notice) const;
+    void apply(life_notices &notices, const leaving_notice &notice, time_point now);
+    void apply(life_notices &notices, const rest_notice &notice, time_point now);
+    [[nodiscard]] static bool isResting(const directory_entry &entry, const target_record &record, time_point now);
+    /** What the target said in this life, if the attempt is one of those that show whether its rest has helped. */
+    [[nodiscard]] life_notices *probed(const started_attempt &attempt);
     [[nodiscard]] double load(const target_record &record, time_point now) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -179,7 +179,11 @@
         startAttempt(exchange, state, *target);
         return;
     }
-    const bool isHopeless = m_pool.isOut(state.service, {}, m_now) || (!state.isWaiting && isQueueFull(state));
+    // A stream in progress would break; its caller can wait for a rest that is over soon.
+    const bool canWait
+        = state.streaming && m_pool.firstRestEnd(state.service, m_now).value_or(time_point::max()) < state.waitUntil;
+    const bool isHopeless
+        = !canWait && (m_pool.isOut(state.service, {}, m_now) || (!state.isWaiting && isQueueFull(state)));
     if (m_now >= state.waitUntil || isHopeless) {
         giveUp(exchange, state, target.error().code);
         return;
@@ -200,11 +204,10 @@
     state.firstSent = state.firstSent.value_or(m_now);
     attempt_state attempt;
     attempt.exchange = exchange;
-    attempt.life = target.what.life();
-    attempt.startedAt = m_now;
+    attempt.started = { target.what.life(), m_now };
     attempt.lastProgress = m_now;
     attempt.readsPrompt = state.where->kind == route_kind::stream;
-    m_pool.onStarted(target.what.target, attempt.readsPrompt);
+    m_pool.onStarted(target.what.life(), attempt.readsPrompt);
     m_attempts.emplace(m_lastAttempt, std::move(attempt));
     outgoing_call call;
     call.request = state.request;
@@ -320,7 +323,7 @@
 {
     const auto found = m_attempts.find(std::exchange(state.current, {}));
     if (found != m_attempts.end()) {
-        m_pool.onEnded(found->second.life.target, result, found->second.readsPrompt, m_now);
+        m_pool.onEnded(found->second.started, result, found->second.readsPrompt, m_now);
         m_attempts.erase(found);
     }
     countHeld(state);
@@ -375,7 +378,7 @@
     }
     // Before anything is placed because of this answer.
     for (const auto &notice : event.head.notices) {
-        m_pool.onNotice(found->second.life, notice);
+        m_pool.onNotice(found->second.started.life, notice, m_now);
     }
     judgeAnswer(event, found->second);
     if (!event.head.notices.empty()) {
@@ -390,9 +393,9 @@
     attempt.head = event.head;
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
-    state.headers = m_now - attempt.startedAt;
+    state.headers = m_now - attempt.started.startedAt;
     if (event.head.load) {
-        m_pool.onLoad(attempt.life.target, *event.head.load, m_now);
+        m_pool.onLoad(attempt.started.life.target, *event.head.load, m_now);
     }
     if (event.head.isSpoiled) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
@@ -408,7 +411,10 @@
                     event.head.isOtherTarget ? result_code::target_lost : result_code::target_at_limit);
         return;
     }
-    m_pool.onProgress(attempt.life.target, m_now);
+    m_pool.onProgress(attempt.started.life.target, m_now);
+    if (event.head.status < firstErrorStatus) {
+        m_pool.onAccepted(attempt.started);
+    }
     const bool isStream
         = state.where->kind == route_kind::stream && event.head.isEventStream && isSuccess(event.head.status);
     if (isStream && !state.streaming) {
@@ -432,13 +438,13 @@
     }
     auto &attempt = found->second;
     const duration pause = m_now - std::exchange(attempt.lastProgress, m_now);
-    m_pool.onProgress(attempt.life.target, m_now);
+    m_pool.onProgress(attempt.started.life.target, m_now);
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
     if (state.streaming) {
         auto &pace = m_paces[state.service];
         if (std::exchange(attempt.readsPrompt, false)) {
-            m_pool.onPromptRead(attempt.life.target);
+            m_pool.onPromptRead(attempt.started.life.target);
         } else {
             pace.onPause(pause, state.where->maxGap, m_now);
         }
@@ -571,10 +577,10 @@
     if (found == m_attempts.end() || !isIdempotent(state) || state.runs + 1 >= state.where->attempts) {
         return;
     }
-    if (m_pool.isOut(state.service, { found->second.life.target }, m_now)) {
+    if (m_pool.isOut(state.service, { found->second.started.life.target }, m_now)) {
         return;
     }
-    if (state.streaming && m_pool.isSlow(found->second.life.target, m_now) && takeRepeat(state.service)) {
+    if (state.streaming && m_pool.isSlow(found->second.started.life.target, m_now) && takeRepeat(state.service)) {
         move(exchange, state, "slow");
         return;
     }
@@ -617,12 +623,21 @@
     refuse(exchange, state, why);
 }
 
-/** Spreads the return of callers over the later part of the time that they honour. */
+/**
+ * Spreads the return of callers over the later part of the time that they honour.
+ *
+ * Where all targets rest, callers return from the end of the first rest on, if they honour as much.
+ */
 milliseconds forwarder::returnTime(const request_state &state)
 {
     const auto left = std::chrono::duration<double, std::milli>(state.deadline - m_now).count();
     const double latest = std::max(0.0, left) / returnParts;
-    std::uniform_real_distribution<double> spread(earliestReturn * latest, latest);
+    double earliest = earliestReturn * latest;
+    if (const auto restEnd = m_pool.firstRestEnd(state.service, m_now); restEnd) {
+        const double rest = std::ceil(std::chrono::duration<double, std::milli>(*restEnd - m_now).count());
+        earliest = rest < latest ? rest : earliest;
+    }
+    std::uniform_real_distribution<double> spread(earliest, std::min(latest, earliest + (1 - earliestReturn) * latest));
     return milliseconds(static_cast<std::int64_t>(spread(m_random)));
 }
 
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -33,6 +33,11 @@
 constexpr duration engineSilence = std::chrono::seconds(2);
 /** The ranks of a group advance together, so a request at a target of this pace delays the streams of all others. */
 constexpr double slowPace = 1.5;
+/** Nodes that a target refused together return to it spread over this share of its rest: little beside what callers
+ * wait anyway. */
+constexpr double returnSpread = 0.1;
+/** Covers the answer to a probe. */
+constexpr duration returnSpreadMax = std::chrono::milliseconds(500);
 /** A target that fails every request counts as full. */
 constexpr double failurePenaltySlots = 1.0;
 
@@ -117,6 +122,10 @@
     if (record.failuresInRow >= failuresToBlock && record.inFlight > 0) {
         return false;
     }
+    const auto &notices = record.notices;
+    if (notices.isReturning && notices.probes > 0 && notices.life == entry.what.life()) {
+        return false;
+    }
     const auto *service = m_routes ? m_routes->limitsOf(entry.what.service) : nullptr;
     if (service != nullptr && service->maxConnections > 0) {
         const auto share = static_cast<std::uint32_t>(m_settings.limitShare * service->maxConnections / m_nodes);
@@ -168,7 +177,8 @@
                                 const auto record = m_records.find(one.first);
                                 return one.second.what.service == service && isOpen(one.second)
                                     && !excluded.contains(one.first) && record != m_records.end()
-                                    && !record->second.isBroken && record->second.pace < slowPace;
+                                    && !record->second.isBroken && !isResting(one.second, record->second, now)
+                                    && record->second.pace < slowPace;
                             });
     std::vector<candidate> candidates;
     bool anyUsable = false;
@@ -177,7 +187,7 @@
             continue;
         }
         auto &record = m_records[id];
-        if (record.blockedUntil > now || (knowsEngines(now) && record.isBroken)
+        if (record.blockedUntil > now || isResting(entry, record, now) || (knowsEngines(now) && record.isBroken)
             || (avoidsSlow && record.pace >= slowPace)) {
             continue;
         }
@@ -202,9 +212,10 @@
     return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)].entry;
 }
 
-void target_pool::onStarted(const target_id &target, bool readsPrompt)
+void target_pool::onStarted(const target_life &life, bool readsPrompt)
 {
-    auto &record = m_records[target];
+    auto &record = m_records[life.target];
+    record.notices.probes += record.notices.life == life && record.notices.isReturning ? 1 : 0;
     record.inFlight += 1;
     record.prompts += readsPrompt ? 1 : 0;
     record.coldTokens = std::max(0.0, record.coldTokens - 1.0);
@@ -244,12 +255,30 @@
     return uses;
 }
 
-void target_pool::onEnded(const target_id &target, attempt_result result, bool readsPrompt, time_point now)
+target_pool::life_notices *target_pool::probed(const started_attempt &attempt)
+{
+    auto &notices = m_records[attempt.life.target].notices;
+    const bool isProbe = notices.isReturning && notices.life == attempt.life && attempt.startedAt >= notices.restEnd;
+    return isProbe ? &notices : nullptr;
+}
+
+void target_pool::onAccepted(const started_attempt &attempt)
+{
+    if (auto *notices = probed(attempt); notices != nullptr) {
+        notices->isReturning = false;
+        notices->probes = 0;
+    }
+}
+
+void target_pool::onEnded(const started_attempt &attempt, attempt_result result, bool readsPrompt, time_point now)
 {
     if (readsPrompt) {
-        onPromptRead(target);
+        onPromptRead(attempt.life.target);
     }
-    auto &record = m_records[target];
+    if (auto *notices = probed(attempt); notices != nullptr) {
+        notices->probes -= std::min<std::uint32_t>(1, notices->probes);
+    }
+    auto &record = m_records[attempt.life.target];
     record.inFlight -= std::min<std::uint32_t>(1, record.inFlight);
     switch (result) {
     case attempt_result::answered:
@@ -293,7 +322,7 @@
     record.othersAt = now;
 }
 
-void target_pool::onNotice(const target_life &life, const target_notice &notice)
+void target_pool::onNotice(const target_life &life, const target_notice &notice, time_point now)
 {
     const auto *entry = m_directory->find(life.target);
     if (entry == nullptr || entry->what.life() != life) {
@@ -303,14 +332,33 @@
     if (notices.life != life) {
         notices = { .life = life };
     }
-    std::visit([&](const auto &said) { apply(notices, said); }, notice);
+    std::visit([&](const auto &said) { apply(notices, said, now); }, notice);
 }
 
-void target_pool::apply(life_notices &notices, const leaving_notice & /*notice*/) const
+void target_pool::apply(life_notices &notices, const leaving_notice & /*notice*/, time_point /*now*/)
 {
     notices.isLeaving = true;
 }
 
+void target_pool::apply(life_notices &notices, const rest_notice &notice, time_point now)
+{
+    const double most = std::min<double>(returnSpread * static_cast<double>(notice.left.count()),
+                                         static_cast<double>(returnSpreadMax.count()));
+    const duration spread(std::uniform_int_distribution<duration::rep>(0, std::llround(most))(m_random));
+    const time_point end = now + notice.left + spread;
+    if (end > notices.restEnd) {
+        notices.restEnd = end;
+        notices.isReturning = true;
+        // All that is in flight started before the end of this rest.
+        notices.probes = 0;
+    }
+}
+
+bool target_pool::isResting(const directory_entry &entry, const target_record &record, time_point now)
+{
+    return record.notices.restEnd > now && record.notices.life == entry.what.life();
+}
+
 bool target_pool::knowsEngines(time_point now) const
 {
     return m_enginesHeard != time_point {} && now - m_enginesHeard <= engineSilence;
@@ -329,10 +377,28 @@
             return false;
         }
         const auto record = m_records.find(one.first);
-        return !knowsEngines(now) || record == m_records.end() || !record->second.isBroken;
+        return record == m_records.end()
+            || ((!knowsEngines(now) || !record->second.isBroken) && !isResting(one.second, record->second, now));
     });
 }
 
+std::optional<time_point> target_pool::firstRestEnd(const service_id &service, time_point now) const
+{
+    std::optional<time_point> first;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        const auto record = m_records.find(id);
+        if (entry.what.service != service || !isOpen(entry)
+            || (record != m_records.end() && knowsEngines(now) && record->second.isBroken)) {
+            continue;
+        }
+        if (record == m_records.end() || !isResting(entry, record->second, now)) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(time_point::max()), record->second.notices.restEnd);
+    }
+    return first;
+}
+
 std::size_t target_pool::countActive(const service_id &service, duration window, time_point now) const
 {
     std::size_t active = 0;
@@ -383,7 +449,7 @@
         const auto found = m_records.find(id);
         const auto &record = found == m_records.end() ? unused : found->second;
         if (entry.what.service != service || !isOpen(entry) || record.blockedUntil > now
-            || (knowsEngines(now) && record.isBroken)) {
+            || isResting(entry, record, now) || (knowsEngines(now) && record.isBroken)) {
             continue;
         }
         const double requests = load(record, now);
--- a/test/leaving-test.cc
+++ b/test/leaving-test.cc
@@ -68,6 +68,12 @@
 
 const target_notice leaves = leaving_notice {};
 
+/** A refusal of a target that wants no request for `left`. */
+answer_head makeRefusal(duration left)
+{
+    return makeHead(503, { rest_notice { left } });
+}
+
 /** A forwarder and the targets of one service. */
 class fleet
 {
@@ -291,14 +297,137 @@
     CHECK(targetOf(f.arrive(statusPath)) == "u1");
 }
 
+TEST_CASE("a target that asks for rest gets nothing until its end", "[forward][rest]")
+{
+    // Guards against requests, second tries and resumed streams that a full target has to refuse one by one.
+    fleet f(2);
+    const auto first = startedIn(f.arrive(statusPath));
+    const auto stream = startedIn(f.arrive(streamPath));
+    REQUIRE(stream.call.target != first.call.target);
+    const auto second = startedIn(f.begin(first.attempt, makeRefusal(2s)));
+    CHECK(second.call.target == stream.call.target);
+    f.answer(second.attempt, makeHead(200));
+    f.begin(stream.attempt, makeHead(200));
+    f.step(answer_bytes { stream.attempt, "id: 1\ndata: a\n\n" });
+    CHECK(find<start_attempt>(f.step(attempt_broken { stream.attempt, false })) == nullptr);
+    f.reload();
+    for (int i = 0; i < 39; ++i) {
+        f.tickAfter(50ms);
+        const auto actions = f.arrive(i % 2 == 0 ? bookingPath : streamPath);
+        if (const auto *next = find<start_attempt>(actions); next != nullptr) {
+            CHECK(next->call.target == stream.call.target);
+            f.answer(next->attempt, makeHead(200));
+        }
+    }
+}
+
+TEST_CASE("a target gets one request at a time after its rest until one is answered well", "[forward][rest]")
+{
+    // Guards against a burst at the moment at which the rest is over.
+    fleet f(1);
+    const auto early = startedIn(f.arrive(streamPath));
+    f.begin(startedIn(f.arrive(bookingPath)).attempt, makeRefusal(1s));
+    f.begin(early.attempt, makeHead(200));
+    f.tickAfter(1100ms);
+    const auto probe = startedIn(f.arrive(bookingPath));
+    // The end of what had begun before the rest does not show that the target has room.
+    f.step(answer_ended { early.attempt });
+    CHECK(targetOf(f.arrive(bookingPath)).empty());
+    f.begin(probe.attempt, makeHead(200));
+    CHECK(targetOf(f.arrive(bookingPath)) == "t1");
+    CHECK(targetOf(f.arrive(bookingPath)) == "t1");
+}
+
+TEST_CASE("a refused probe begins the next rest", "[forward][rest]")
+{
+    fleet f(1);
+    f.begin(startedIn(f.arrive(bookingPath)).attempt, makeRefusal(1s));
+    for (int i = 0; i < 5; ++i) {
+        f.tickAfter(1100ms);
+        f.begin(startedIn(f.arrive(bookingPath)).attempt, makeRefusal(1s));
+        CHECK(targetOf(f.arrive(bookingPath)).empty());
+    }
+}
+
+TEST_CASE("a shorter rest does not end a longer one", "[forward][rest]")
+{
+    fleet f(1);
+    const auto other = startedIn(f.arrive(bookingPath));
+    const auto last = startedIn(f.arrive(bookingPath));
+    f.begin(other.attempt, makeRefusal(2s));
+    f.begin(last.attempt, makeRefusal(100ms));
+    f.tickAfter(1s);
+    CHECK(targetOf(f.arrive(bookingPath)).empty());
+}
+
+TEST_CASE("callers return after the rest when all targets rest", "[forward][rest]")
+{
+    fleet f(2);
+    for (int i = 0; i < 2; ++i) {
+        f.begin(startedIn(f.arrive(bookingPath)).attempt, makeRefusal(200ms));
+    }
+    std::set<std::int64_t> returns;
+    for (int i = 0; i < 50; ++i) {
+        const auto actions = f.arrive(bookingPath);
+        const auto *refused = find<refuse_request>(actions);
+        REQUIRE(refused != nullptr);
+        CHECK_FALSE(refused->why.mayHaveRun);
+        REQUIRE(refused->why.retryAfter.has_value());
+        // Callers honour a third of their time.
+        CHECK(*refused->why.retryAfter >= 200ms);
+        CHECK(*refused->why.retryAfter <= 500ms);
+        returns.insert(refused->why.retryAfter->count());
+    }
+    CHECK(returns.size() > 20);
+    // A rest that is longer than callers honour.
+    fleet g(1);
+    g.begin(startedIn(g.arrive(bookingPath)).attempt, makeRefusal(30s));
+    const auto actions = g.arrive(bookingPath);
+    const auto *refused = find<refuse_request>(actions);
+    REQUIRE(refused != nullptr);
+    CHECK(*refused->why.retryAfter >= 300ms);
+    CHECK(*refused->why.retryAfter <= 500ms);
+}
+
+TEST_CASE("a broken stream waits for a rest that is over soon", "[forward][rest]")
+{
+    // Guards against streams that break for good where all targets refuse for a moment.
+    fleet f(2);
+    const auto stream = startedIn(f.arrive(streamPath));
+    f.begin(stream.attempt, makeHead(200));
+    f.step(answer_bytes { stream.attempt, "id: 1\ndata: a\n\n" });
+    const auto booking = startedIn(f.arrive(bookingPath));
+    f.begin(startedIn(f.begin(booking.attempt, makeRefusal(200ms))).attempt, makeRefusal(200ms));
+    CHECK(find<break_answer>(f.step(attempt_broken { stream.attempt, false })) == nullptr);
+    CHECK(targetOf(f.tickAfter(100ms)).empty());
+    CHECK(targetOf(f.tickAfter(150ms)) == booking.call.target.value);
+}
+
+TEST_CASE("a rest belongs to one life of a target", "[forward][rest]")
+{
+    fleet f(1);
+    const auto early = startedIn(f.arrive(bookingPath));
+    const auto late = startedIn(f.arrive(bookingPath));
+    f.begin(early.attempt, makeRefusal(30s));
+    CHECK(targetOf(f.arrive(bookingPath)).empty());
+    f.enter(makeRegistration("t1", 2000));
+    CHECK(targetOf(f.arrive(bookingPath)) == "t1");
+    f.begin(late.attempt, makeRefusal(30s));
+    CHECK(targetOf(f.arrive(bookingPath)) == "t1");
+    auto successor = makeRegistration("t1", 3000);
+    successor.target = { "u1" };
+    f.enter(successor);
+    CHECK(targetOf(f.arrive(bookingPath)) == "u1");
+}
+
 namespace
 {
 
 /**
  * Random requests, answers, restarts and reloads at many targets.
  *
- * Each target says nothing, or from some moment on in every answer that it leaves. Checks each attempt that is started
- * against what the life of its target has said.
+ * Each target says nothing, or from some moment on in every answer that it leaves, and asks for rest in some of its
+ * refusals. Checks each attempt that is started against what the life of its target has said.
  */
 class random_run
 {
@@ -326,6 +455,18 @@
         return m_leftBefore;
     }
 
+    /** Attempts at a target that rests. */
+    [[nodiscard]] std::size_t duringRest() const
+    {
+        return m_duringRest;
+    }
+
+    /** Attempts beside another one at a target that has not answered well since its rest. */
+    [[nodiscard]] std::size_t besideProbe() const
+    {
+        return m_besideProbe;
+    }
+
     [[nodiscard]] std::size_t attempts() const
     {
         return m_attempts;
@@ -334,6 +475,17 @@
 private:
     static constexpr std::uint32_t targets = 12;
 
+    using life_key = std::pair<std::string, std::int64_t>;
+
+    /** A rest that a life of a target asked for. */
+    struct rest
+    {
+        time_point end {};
+        bool isReturning = false;
+        /** Attempts in flight that started after the rest. */
+        std::set<std::uint64_t> probes;
+    };
+
     struct running_attempt
     {
         attempt_number number;
@@ -410,21 +562,40 @@
                 m_leaving.insert(key(life));
                 m_lateNotices += isPresent ? 0 : 1;
             }
+            auto &one = m_rests[key(life)];
+            if (refuses && draw(2) == 0) {
+                const milliseconds left(50 + draw(2000));
+                notices.emplace_back(rest_notice { left });
+                if (m_fleet.now() + left > one.end) {
+                    one = { m_fleet.now() + left, true, {} };
+                }
+            }
+            if (refuses) {
+                one.probes.erase(number.value);
+            } else if (one.probes.contains(number.value)) {
+                one = { one.end, false, {} };
+            }
             const int status = refuses ? 503 : 200;
             see(m_fleet.begin(number, makeHead(status, notices)));
             return;
         }
         if (draw(4) == 0) {
-            m_running.erase(at);
+            forget(at);
             see(m_fleet.step(attempt_broken { number, false }));
         } else if (draw(3) == 0) {
             see(m_fleet.step(answer_bytes { number, "id: 1\ndata: a\n\n" }));
         } else {
-            m_running.erase(at);
+            forget(at);
             see(m_fleet.step(answer_ended { number }));
         }
     }
 
+    void forget(std::map<std::uint64_t, running_attempt>::iterator at)
+    {
+        m_rests[key(at->second.life)].probes.erase(at->first);
+        m_running.erase(at);
+    }
+
     void see(const std::vector<forward_action> &actions)
     {
         for (const auto &one : actions) {
@@ -434,13 +605,21 @@
                 const target_life life { target, m_fleet.directory().find(target)->what.order.startedMs };
                 m_leftBefore += m_leaving.contains(key(life)) ? 1 : 0;
                 m_running[start->attempt.value] = { start->attempt, life };
+                auto &one = m_rests[key(life)];
+                m_duringRest += m_fleet.now() < one.end ? 1 : 0;
+                if (one.isReturning) {
+                    m_besideProbe += one.probes.empty() ? 0 : 1;
+                    one.probes.insert(start->attempt.value);
+                }
             } else if (const auto *cancel = std::get_if<cancel_attempt>(&one)) {
-                m_running.erase(cancel->attempt.value);
+                if (const auto at = m_running.find(cancel->attempt.value); at != m_running.end()) {
+                    forget(at);
+                }
             }
         }
     }
 
-    static std::pair<std::string, std::int64_t> key(const target_life &life)
+    static life_key key(const target_life &life)
     {
         return { life.target.value, life.startedMs };
     }
@@ -452,7 +631,10 @@
     std::int64_t m_lastStart = 1000;
     std::map<std::uint64_t, running_attempt> m_running;
     /** Lives that have said that they leave. */
-    std::set<std::pair<std::string, std::int64_t>> m_leaving;
+    std::set<life_key> m_leaving;
+    std::map<life_key, rest> m_rests;
+    std::size_t m_duringRest = 0;
+    std::size_t m_besideProbe = 0;
     std::size_t m_leftBefore = 0;
     std::size_t m_lateNotices = 0;
     std::size_t m_attempts = 0;
@@ -460,7 +642,7 @@
 
 } // namespace
 
-TEST_CASE("no attempt starts at a life of a target that has said it leaves", "[forward][leaving][random]")
+TEST_CASE("attempts keep to what each life of a target has said of itself", "[forward][leaving][rest][random]")
 {
     constexpr std::uint64_t seeds = 40;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -468,6 +650,8 @@
         random_run one(seed);
         one.run();
         CHECK(one.leftBefore() == 0);
+        CHECK(one.duringRest() == 0);
+        CHECK(one.besideProbe() == 0);
         // Restarts bring targets back, so that requests still run.
         CHECK(one.attempts() > 100);
     }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -356,3 +356,42 @@
     const std::pair<std::string, std::string> header { "Server-Leaving", "1" };
     CHECK(language.decodeHead({}, 200, { header }).headers == http_headers { header });
 }
+
+TEST_CASE("a target asks for rest only in a refusal with a time that is one", "[platform][rest]")
+{
+    // Guards against a target that is left alone for ever, or not at all, by a value that was misread.
+    forward::caller_request request;
+    request.id = { "id-1" };
+    const std::pair<std::string, std::string> echo { "X-Figcleat-Attempt-Id", "id-1" };
+    const auto rest = [&](int status, const http_headers &headers) -> std::optional<duration> {
+        const auto notices = language.decodeHead(request, status, headers).notices;
+        return notices.empty() ? std::nullopt : std::optional(std::get<forward::rest_notice>(notices.front()).left);
+    };
+    const auto restOf = [&](const std::string &value) { return rest(503, { echo, { "Retry-After", value } }); };
+    CHECK(restOf("2") == 2s);
+    CHECK(restOf("1.5") == 1500ms);
+    CHECK(restOf(" 2\t") == 2s);
+    CHECK(restOf("007") == 7s);
+    CHECK(restOf("0.0001") == 1ms);
+    CHECK(restOf("60") == 60s);
+    for (const auto *huge : { "61", "3600", "999999999", "1000000000", "99999999999999999999999999999999" }) {
+        INFO(huge);
+        CHECK(restOf(huge) == 60s);
+    }
+    CHECK(restOf(std::string(400, '9') + ".5") == 60s);
+    for (const auto *ignored : { "",     " ",   "0",   "0.0",   "-1",   "+1",   "-0.5",
+                                 "soon", "2 s", "1e3", "1e400", "0x10", "inf",  "nan",
+                                 ".",    "1.",  ".5",  "1.2.3", "1,5",  "2, 3", "Fri, 07 Nov 2025 23:59:59 GMT" }) {
+        INFO("'" << ignored << "'");
+        CHECK_FALSE(restOf(ignored).has_value());
+    }
+    CHECK(rest(503, { echo, { "X-Figcleat-Not-Executed", "1" }, { "RETRY-AFTER", "2" } }) == 2s);
+    CHECK(rest(503, { echo, { "Retry-After", "2" }, { "retry-after", "3" } }) == 3s);
+    CHECK(rest(503, { echo, { "Retry-After", "3" }, { "Retry-After", "soon" } }) == 3s);
+    CHECK_FALSE(rest(503, { { "Retry-After", "2" } }).has_value());
+    CHECK_FALSE(rest(503, { { "X-Figcleat-Attempt-Id", "id-2" }, { "Retry-After", "2" } }).has_value());
+    for (const int status : { 200, 301, 421, 429, 500 }) {
+        INFO(status);
+        CHECK_FALSE(rest(status, { echo, { "Retry-After", "2" } }).has_value());
+    }
+}
