Log and count what targets say of themselves in answers

Which targets a front leaves alone because they leave or rest could be seen in no log line or metric. The pool tells whether a notice is new; the front writes `event=target_notice` with the life, what was said, for how long and the request whose answer said it, and counts both kinds in `figcleat_target_notices_total`. A repeated notice writes none.

leaving-test: what a target says is reported once.

--- a/include/figcleat/daemon/front-metrics.h
+++ b/include/figcleat/daemon/front-metrics.h
@@ -17,6 +17,7 @@
 
     void record(const forward::forward_ended &ended);
     void record(const forward::attempt_note &note);
+    void record(const forward::target_noted &noted);
     void write(report::metrics_text &page) const;
 
 private:
@@ -31,6 +32,8 @@
     std::map<outcome, std::uint64_t> m_requests;
     /** By what happened and what followed. */
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_attempts;
+    std::uint64_t m_leaving = 0;
+    std::uint64_t m_rests = 0;
     report::latency_histogram m_queued;
     report::latency_histogram m_headers;
     report::latency_histogram m_firstByte;
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -61,6 +61,7 @@
     void carryOut(const forward::break_answer &action);
     void carryOut(const forward::forward_ended &action);
     void carryOut(const forward::attempt_note &action);
+    void carryOut(const forward::target_noted &action);
 
     struct open_attempt
     {
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -210,8 +210,18 @@
     std::string next;
 };
 
-using forward_action = std::variant<start_attempt, cancel_attempt, refuse_request, pass_answer, start_event_stream,
-                                    send_events, end_event_stream, break_answer, forward_ended, attempt_note>;
+/** A target said something new of itself that changes where requests go; for logs. */
+struct target_noted
+{
+    /** Request whose answer said it. */
+    request_id id;
+    target_life life;
+    target_notice notice;
+};
+
+using forward_action
+    = std::variant<start_attempt, cancel_attempt, refuse_request, pass_answer, start_event_stream, send_events,
+                   end_event_stream, break_answer, forward_ended, attempt_note, target_noted>;
 
 /** Load of a service as this node sees it. */
 struct service_load
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -152,8 +152,12 @@
     /** A sign of life in the middle of an attempt. */
     void onProgress(const target_id &target, time_point now);
     void onLoad(const target_id &target, const target_load &load, time_point now);
-    /** @param life that an answer is of; what an earlier life said does not hold for the present one */
-    void onNotice(const target_life &life, const target_notice &notice, time_point now);
+    /**
+     * True if it says something new.
+     *
+     * @param life that an answer is of; what an earlier life said does not hold for the present one
+     */
+    bool onNotice(const target_life &life, const target_notice &notice, time_point now);
 
     /** A target that delays the others of its group so much that its streams are better moved. */
     [[nodiscard]] bool isSlow(const target_id &target, time_point now) const;
@@ -219,8 +223,8 @@
     /** One of the candidates with the lowest scores. */
     [[nodiscard]] const directory_entry *pick(std::vector<candidate> &candidates);
     [[nodiscard]] bool knowsEngines(time_point now) const;
-    void apply(life_notices &notices, const leaving_notice &notice, time_point now);
-    void apply(life_notices &notices, const rest_notice &notice, time_point now);
+    bool apply(life_notices &notices, const leaving_notice &notice, time_point now);
+    bool apply(life_notices &notices, const rest_notice &notice, time_point now);
     [[nodiscard]] static bool isResting(const directory_entry &entry, const target_record &record, time_point now);
     /** What the target said in this life, if the attempt is one of those that show whether its rest has helped. */
     [[nodiscard]] life_notices *probed(const started_attempt &attempt);
--- a/src/daemon/front-metrics.cc
+++ b/src/daemon/front-metrics.cc
@@ -1,5 +1,7 @@
 #include "figcleat/daemon/front-metrics.h"
 
+#include "figcleat/core/overloaded.h"
+
 #include <fmt/format.h>
 
 namespace figcleat
@@ -32,6 +34,13 @@
     ++m_attempts[{ note.outcome, note.next }];
 }
 
+void front_metrics::record(const forward::target_noted &noted)
+{
+    std::visit(overloaded { [this](const forward::leaving_notice &) { ++m_leaving; },
+                            [this](const forward::rest_notice &) { ++m_rests; } },
+               noted.notice);
+}
+
 void front_metrics::write(report::metrics_text &page) const
 {
     for (const auto &[what, count] : m_requests) {
@@ -44,6 +53,10 @@
         page.counter("figcleat_attempts_failed_total", "Attempts that did not end with an answer.",
                      fmt::format("outcome=\"{}\",next=\"{}\"", what.first, what.second), count);
     }
+    constexpr auto notices = "figcleat_target_notices_total";
+    constexpr auto noticesHelp = "Lives of targets that said they leave, and rests that targets asked for.";
+    page.counter(notices, noticesHelp, "says=\"leaving\"", m_leaving);
+    page.counter(notices, noticesHelp, "says=\"rest\"", m_rests);
     page.histogram("figcleat_queue_seconds", "Time until the first attempt.", m_queued);
     page.histogram("figcleat_target_headers_seconds",
                    "Time from the last attempt to the target's headers, connection included.", m_headers);
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -419,4 +419,20 @@
                    action.outcome, action.next);
 }
 
+void front_node::carryOut(const forward::target_noted &action)
+{
+    m_counts.record(action);
+    const auto write = [&action](std::string_view what, forward::milliseconds left) {
+        logger()->info("event=target_notice target={} started={} says={} rest_ms={} id={}", action.life.target.value,
+                       action.life.startedMs, what, left.count(), action.id.value);
+    };
+    std::visit(overloaded {
+                   [&](const forward::leaving_notice &) { write("leaving", {}); },
+                   [&](const forward::rest_notice &said) {
+                       write("rest", std::chrono::duration_cast<forward::milliseconds>(said.left));
+                   },
+               },
+               action.notice);
+}
+
 } // namespace figcleat
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -378,7 +378,10 @@
     }
     // Before anything is placed because of this answer.
     for (const auto &notice : event.head.notices) {
-        m_pool.onNotice(found->second.started.life, notice, m_now);
+        const auto &life = found->second.started.life;
+        if (m_pool.onNotice(life, notice, m_now)) {
+            m_actions.emplace_back(target_noted { m_requests.at(found->second.exchange).request->id, life, notice });
+        }
     }
     judgeAnswer(event, found->second);
     if (!event.head.notices.empty()) {
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace figcleat::forward
 {
@@ -322,36 +323,38 @@
     record.othersAt = now;
 }
 
-void target_pool::onNotice(const target_life &life, const target_notice &notice, time_point now)
+bool target_pool::onNotice(const target_life &life, const target_notice &notice, time_point now)
 {
     const auto *entry = m_directory->find(life.target);
     if (entry == nullptr || entry->what.life() != life) {
-        return;
+        return false;
     }
     auto &notices = m_records[life.target].notices;
     if (notices.life != life) {
         notices = { .life = life };
     }
-    std::visit([&](const auto &said) { apply(notices, said, now); }, notice);
+    return std::visit([&](const auto &said) { return apply(notices, said, now); }, notice);
 }
 
-void target_pool::apply(life_notices &notices, const leaving_notice & /*notice*/, time_point /*now*/)
+bool target_pool::apply(life_notices &notices, const leaving_notice & /*notice*/, time_point /*now*/)
 {
-    notices.isLeaving = true;
+    return !std::exchange(notices.isLeaving, true);
 }
 
-void target_pool::apply(life_notices &notices, const rest_notice &notice, time_point now)
+bool target_pool::apply(life_notices &notices, const rest_notice &notice, time_point now)
 {
     const double most = std::min<double>(returnSpread * static_cast<double>(notice.left.count()),
                                          static_cast<double>(returnSpreadMax.count()));
     const duration spread(std::uniform_int_distribution<duration::rep>(0, std::llround(most))(m_random));
     const time_point end = now + notice.left + spread;
-    if (end > notices.restEnd) {
-        notices.restEnd = end;
-        notices.isReturning = true;
-        // All that is in flight started before the end of this rest.
-        notices.probes = 0;
+    if (end <= notices.restEnd) {
+        return false;
     }
+    notices.restEnd = end;
+    notices.isReturning = true;
+    // All that is in flight started before the end of this rest.
+    notices.probes = 0;
+    return true;
 }
 
 bool target_pool::isResting(const directory_entry &entry, const target_record &record, time_point now)
--- a/test/leaving-test.cc
+++ b/test/leaving-test.cc
@@ -208,6 +208,21 @@
     }
 }
 
+TEST_CASE("what a target says is reported once", "[forward][leaving][rest]")
+{
+    // Guards against a line in the log for each answer of a target that leaves.
+    fleet f(1);
+    const auto first = startedIn(f.arrive(statusPath));
+    const auto second = startedIn(f.arrive(statusPath));
+    const auto actions = f.begin(first.attempt, makeHead(200, { leaves }));
+    const auto *noted = find<target_noted>(actions);
+    REQUIRE(noted != nullptr);
+    CHECK(noted->id == first.call.request->id);
+    CHECK(noted->life == target_life { { "t1" }, 1000 });
+    CHECK(noted->notice == leaves);
+    CHECK(find<target_noted>(f.begin(second.attempt, makeHead(200, { leaves }))) == nullptr);
+}
+
 TEST_CASE("what runs at a target that leaves runs to its end", "[forward][leaving]")
 {
     // Guards against a silent stream that is broken off for a target that is no longer there to go on with it.
