Tell the requests of an earlier life of an agent apart in the random runs of controllers

Traced: in the model time advances in ticks of 10 ms, and an agent asked for a grant in the tick in which it was restarted, so that the new life took the grant. A process cannot ask before it has started; its clock counts nanoseconds. No check changed.

--- a/test/control-random-test.cc
+++ b/test/control-random-test.cc
@@ -237,7 +237,8 @@
     void onGrant(agent &one, const control_grant &grant)
     {
         const time_point until = time_point(duration(grant.sentAt)) + std::chrono::milliseconds(grant.milliseconds);
-        const bool isOfEarlierLife = time_point(duration(grant.sentAt)) < one.startedAt;
+        // Time advances in ticks here, so that a request and the restart after it may have one time.
+        const bool isOfEarlierLife = time_point(duration(grant.sentAt)) <= one.startedAt;
         if (grant.fence.value == 0 || until <= m_now || grant.fence < one.followed.latest().fence || isOfEarlierLife
             || (one.controller && grant.fence < one.fence)) {
             return;
