Log the parts of prompts and how far an attempt had come

A request that ended its target looked like one that was cut because another rank of its group had ended, and like one that met a full target, so the logs could not tell the hypotheses of docs/incidents/budget.md apart. event=request and event=attempt now have the shared parts of the prompt; event=attempt also the incarnation of the target, the stage (unsent, no_answer, head_only, writing), the age of the attempt and the target at fault (At-Server); the counter of failed attempts has the stage.

No decision changes.

--- a/include/figcleat/core/ids.h
+++ b/include/figcleat/core/ids.h
@@ -49,6 +49,8 @@
 using group_id = text_id<struct group_tag>;
 using request_id = text_id<struct request_tag>;
 using model_id = text_id<struct model_tag>;
+/** A part of a prompt that requests share, such as a system prompt; requests with the same content have the same id. */
+using prompt_part_id = text_id<struct prompt_part_tag>;
 
 /** Mailbox address of a process, "IP:port". */
 using peer_address = text_id<struct peer_address_tag>;
--- a/include/figcleat/daemon/front-metrics.h
+++ b/include/figcleat/daemon/front-metrics.h
@@ -29,9 +29,17 @@
         auto operator<=>(const outcome &) const = default;
     };
 
+    struct attempt_failure
+    {
+        std::string outcome;
+        std::string next;
+        forward::attempt_stage stage = forward::attempt_stage::unsent;
+
+        auto operator<=>(const attempt_failure &) const = default;
+    };
+
     std::map<outcome, std::uint64_t> m_requests;
-    /** By what happened and what followed. */
-    std::map<std::pair<std::string, std::string>, std::uint64_t> m_attempts;
+    std::map<attempt_failure, std::uint64_t> m_attempts;
     std::uint64_t m_leaving = 0;
     std::uint64_t m_rests = 0;
     report::latency_histogram m_queued;
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -37,6 +37,8 @@
     std::optional<milliseconds> deadline;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxAnswerTokens = 0;
+    /** Parts of the prompt that other requests share, in order; the part that belongs to this request is left out. */
+    std::vector<prompt_part_id> sharedParts;
     /** Id of the event after which the caller resumes a stream; empty if the caller starts a new one. */
     std::string lastEventId;
 };
@@ -64,6 +66,8 @@
     /** The answer may have been altered on the way or may belong to another request. */
     bool isCorrupt = false;
     bool isEventStream = false;
+    /** Target that a refusal names as the cause, such as a lost rank of the group; empty if none is named. */
+    target_id targetAtFault {};
     std::optional<target_load> load;
     /** Empty unless the requested target itself answered this request. */
     std::vector<target_notice> notices;
@@ -206,15 +210,36 @@
     std::uint64_t configurationVersion = 0;
 };
 
+/** How far an attempt had come when it ended. */
+enum class attempt_stage : std::uint8_t {
+    /** No byte of the request was sent. */
+    unsent,
+    /** The target has not begun its answer. */
+    no_answer,
+    /** The head of the answer has arrived, but no byte of its body. */
+    head_only,
+    /** The target has begun to write the body of its answer. */
+    writing,
+};
+
+[[nodiscard]] std::string_view toString(attempt_stage stage);
+
 /** Failure of an attempt and the decision that followed, for logs and metrics. */
 struct failed_attempt
 {
     request_id id;
-    target_id target;
+    target_incarnation incarnation;
     /** Name of the result code, or "slow" or "silent" if this node cancelled the attempt. */
     std::string outcome;
     /** "retry" or "end". */
     std::string next;
+    attempt_stage stage = attempt_stage::unsent;
+    /** From the start of the attempt to its end. */
+    duration age {};
+    /** Target that a refusal names as the cause; empty if none is named. */
+    target_id targetAtFault;
+    /** The request of the attempt. */
+    std::shared_ptr<const caller_request> request;
 };
 
 /** A target's notice changed which requests the target gets; for logs and metrics. */
@@ -300,6 +325,17 @@
         std::string body;
         /** The target has not yet sent the first bytes of a stream, so it is still reading the prompt. */
         bool readsPrompt = false;
+        /** A byte of the answer's body has arrived. */
+        bool hasBody = false;
+    };
+
+    /** How the last attempt at a request ended. */
+    struct ended_attempt
+    {
+        target_incarnation incarnation;
+        attempt_stage stage = attempt_stage::unsent;
+        duration age {};
+        target_id targetAtFault;
     };
 
     struct request_state
@@ -328,6 +364,7 @@
         /** Attempts in which a target ran the request or may have run it. */
         std::uint32_t executionCount = 0;
         target_id lastTarget;
+        ended_attempt lastAttempt;
         /** Error answer of a target, which the caller gets if every further attempt fails. */
         std::optional<send_answer> fallbackAnswer;
         result_code lastFailure = result_code::no_target;
@@ -370,6 +407,7 @@
     [[nodiscard]] bool takeRetry(const service_id &service);
     /** Retries a request whose attempt has ended, if retries are allowed; otherwise ends the request. */
     void retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code);
+    [[nodiscard]] static attempt_stage stageOf(const attempt_state &attempt, attempt_result result);
     void endAttempt(request_state &state, attempt_result result);
     /** Recalculates the request's buffered bytes. Call after each change of its answer, fallback or events. */
     void updateBufferedBytes(request_state &state);
--- a/src/daemon/front-metrics.cc
+++ b/src/daemon/front-metrics.cc
@@ -31,7 +31,7 @@
 
 void front_metrics::record(const forward::failed_attempt &note)
 {
-    ++m_attempts[{ note.outcome, note.next }];
+    ++m_attempts[{ note.outcome, note.next, note.stage }];
 }
 
 void front_metrics::record(const forward::notice_applied &noted)
@@ -51,7 +51,9 @@
     }
     for (const auto &[what, count] : m_attempts) {
         page.counter("figcleat_attempts_failed_total", "Attempts that did not end with an answer.",
-                     fmt::format("outcome=\"{}\",next=\"{}\"", what.first, what.second), count);
+                     fmt::format("outcome=\"{}\",next=\"{}\",stage=\"{}\"", what.outcome, what.next,
+                                 forward::toString(what.stage)),
+                     count);
     }
     constexpr auto notices = "figcleat_target_notices_total";
     constexpr auto noticesHelp = "Lives of targets that said they leave, and rests that targets asked for.";
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -32,6 +32,7 @@
 constexpr std::uint64_t uneventfulPerLine = 64;
 /** A longer path is cut off in the log, so that callers cannot fill it. */
 constexpr std::size_t loggedPathBytes = 200;
+constexpr std::size_t loggedPartsBytes = 200;
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
 
@@ -80,6 +81,19 @@
                static_cast<double>(load.retriesLeft));
 }
 
+/** The shared parts of the prompt, separated by commas. */
+std::string loggedParts(const forward::caller_request &request)
+{
+    std::string list;
+    for (const auto &one : request.sharedParts) {
+        if (list.size() + one.value.size() >= loggedPartsBytes) {
+            break;
+        }
+        list += (list.empty() ? "" : ",") + one.value;
+    }
+    return list;
+}
+
 std::int64_t wholeMs(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -402,21 +416,26 @@
     const bool isUneventful
         = action.code == result_code::ok && !action.isLate && checksum(action.id.value) % uneventfulPerLine != 0;
     const auto level = isUneventful ? spdlog::level::debug : spdlog::level::info;
+    if (!logger()->should_log(level)) {
+        return;
+    }
     logger()->log(level,
                   "event=request id={} route={} workspace={} service={} target={} code={} status={} attempts={} "
-                  "queued_ms={} first_ms={} pause_ms={} whole_ms={} late={} version={} method={} path={}",
+                  "queued_ms={} first_ms={} pause_ms={} whole_ms={} late={} version={} parts={} method={} path={}",
                   action.id.value, action.route.value, action.workspace.value, action.service.value,
                   action.target.value, describe(action.code).name, action.status, action.attempts,
                   wholeMs(action.queueTime), wholeMs(action.firstByteTime), wholeMs(action.longestPause),
-                  wholeMs(action.totalTime), action.isLate, action.configurationVersion, action.request->method,
-                  std::string_view(action.request->path).substr(0, loggedPathBytes));
+                  wholeMs(action.totalTime), action.isLate, action.configurationVersion, loggedParts(*action.request),
+                  action.request->method, std::string_view(action.request->path).substr(0, loggedPathBytes));
 }
 
 void front_node::carryOut(const forward::failed_attempt &action)
 {
     m_counts.record(action);
-    logger()->info("event=attempt id={} target={} outcome={} next={}", action.id.value, action.target.value,
-                   action.outcome, action.next);
+    logger()->info(
+        "event=attempt id={} target={} started={} outcome={} next={} stage={} age_ms={} at_fault={} parts={}",
+        action.id.value, action.incarnation.target.value, action.incarnation.startedMs, action.outcome, action.next,
+        toString(action.stage), wholeMs(action.age), action.targetAtFault.value, loggedParts(*action.request));
 }
 
 void front_node::carryOut(const forward::notice_applied &action)
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -55,6 +55,21 @@
 
 } // namespace
 
+std::string_view toString(attempt_stage stage)
+{
+    switch (stage) {
+    case attempt_stage::unsent:
+        return "unsent";
+    case attempt_stage::no_answer:
+        return "no_answer";
+    case attempt_stage::head_only:
+        return "head_only";
+    case attempt_stage::writing:
+        return "writing";
+    }
+    return "";
+}
+
 forwarder::forwarder(forwarder_settings settings)
     : m_settings(std::move(settings))
     , m_pool(m_settings.pool)
@@ -333,11 +348,25 @@
     return true;
 }
 
+attempt_stage forwarder::stageOf(const attempt_state &attempt, attempt_result result)
+{
+    if (result == attempt_result::unreachable) {
+        return attempt_stage::unsent;
+    }
+    if (!attempt.head) {
+        return attempt_stage::no_answer;
+    }
+    return attempt.hasBody ? attempt_stage::writing : attempt_stage::head_only;
+}
+
 void forwarder::endAttempt(request_state &state, attempt_result result)
 {
     const auto found = m_attempts.find(std::exchange(state.currentAttempt, {}));
     if (found != m_attempts.end()) {
-        m_pool.onEnded(found->second.started, result, found->second.readsPrompt, m_now);
+        const auto &attempt = found->second;
+        state.lastAttempt = { attempt.started.incarnation, stageOf(attempt, result), m_now - attempt.started.startedAt,
+                              attempt.head ? attempt.head->targetAtFault : target_id {} };
+        m_pool.onEnded(attempt.started, result, attempt.readsPrompt, m_now);
         m_attempts.erase(found);
     }
     updateBufferedBytes(state);
@@ -455,6 +484,7 @@
         return;
     }
     auto &attempt = found->second;
+    attempt.hasBody = true;
     const duration pause = m_now - std::exchange(attempt.lastProgress, m_now);
     m_pool.onProgress(attempt.started.incarnation.target, m_now);
     const exchange_id exchange = attempt.exchange;
@@ -619,12 +649,12 @@
 
 void forwarder::switchTarget(exchange_id exchange, request_state &state, std::string reason)
 {
-    recordFailedAttempt(state, std::move(reason), "retry");
     m_actions.emplace_back(cancel_attempt { state.currentAttempt });
     state.events.dropPartialEvent();
     state.executionCount += 1;
     state.waitUntil = std::max(state.waitUntil, m_now + (state.isStreaming ? minResumeWait : minRetryWait));
     endAttempt(state, attempt_result::failed);
+    recordFailedAttempt(state, std::move(reason), "retry");
     assignTarget(exchange, state);
 }
 
@@ -703,7 +733,9 @@
 
 void forwarder::recordFailedAttempt(const request_state &state, std::string outcome, std::string next)
 {
-    m_actions.emplace_back(failed_attempt { state.request->id, state.lastTarget, std::move(outcome), std::move(next) });
+    const auto &ended = state.lastAttempt;
+    m_actions.emplace_back(failed_attempt { state.request->id, ended.incarnation, std::move(outcome), std::move(next),
+                                            ended.stage, ended.age, ended.targetAtFault, state.request });
 }
 
 } // namespace figcleat::forward
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -395,3 +395,38 @@
         CHECK_FALSE(rest(status, { echo, { "Retry-After", "2" } }).has_value());
     }
 }
+
+TEST_CASE("the shared parts of a prompt are all but the last, and odd entries are skipped", "[platform]")
+{
+    const auto parse = [](std::string value) {
+        auto request = makeCall("POST", "/a/");
+        request.headers = { { "X-Figcleat-Prefix-Hash", std::move(value) } };
+        std::vector<std::string> ids;
+        for (const auto &part : language.decodeRequest(request).sharedParts) {
+            ids.push_back(part.value);
+        }
+        return ids;
+    };
+    using list = std::vector<std::string>;
+    CHECK(parse("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == list { "5c1e07a2", "91bd3f06" });
+    CHECK(parse("e4402b7d:250").empty());
+    CHECK(parse("").empty());
+    CHECK(parse("5c1e07a2,:410,91bd3f06:410,e4402b7d:250") == list { "91bd3f06" });
+    CHECK(parse(std::string(65, 'a') + ":1,b:1,c:1") == list { "b" });
+    CHECK(parse("not hex:1,b\n:1,c:1,d:1") == list { "c" });
+    std::string endless;
+    for (int i = 0; i < 1000; ++i) {
+        endless += std::to_string(i) + ":1,";
+    }
+    CHECK(parse(endless + "c:1").size() == 32);
+}
+
+TEST_CASE("a refusal names the target at fault", "[platform]")
+{
+    forward::caller_request request;
+    request.id = { "r1" };
+    const http_headers headers { { "X-Figcleat-Attempt-Id", "r1" },
+                                 { "X-Figcleat-Not-Executed", "1" },
+                                 { "At-Server", "i-1" } };
+    CHECK(language.decodeHead(request, 503, headers).targetAtFault == target_id { "i-1" });
+}
