--- a/include/figcleat/core/result-code.h
+++ b/include/figcleat/core/result-code.h
@@ -38,6 +38,7 @@
     not_configured = 209,
     agreement_unavailable = 210,
     claims_full = 211,
+    prompt_quarantined = 212,
 
     stale_incarnation = 300,
     stale_fence = 301,
@@ -133,7 +134,7 @@
 /** Row of the result code table. */
 [[nodiscard]] const result_info &describe(result_code code);
 /** Every row, in ascending order of code. */
-[[nodiscard]] const std::array<result_info, 86> &resultTable();
+[[nodiscard]] const std::array<result_info, 87> &resultTable();
 [[nodiscard]] std::string_view toString(execution ran);
 
 struct error
--- a/include/figcleat/daemon/front-metrics.h
+++ b/include/figcleat/daemon/front-metrics.h
@@ -18,6 +18,7 @@
     void record(const forward::request_finished &ended);
     void record(const forward::failed_attempt &note);
     void record(const forward::notice_applied &noted);
+    void record(const forward::quarantine_changed &changed);
     void write(report::metrics_text &page) const;
 
 private:
@@ -40,6 +41,7 @@
 
     std::map<outcome, std::uint64_t> m_requests;
     std::map<attempt_failure, std::uint64_t> m_attempts;
+    std::map<forward::quarantine_change, std::uint64_t> m_quarantineChanges;
     std::uint64_t m_leaving = 0;
     std::uint64_t m_rests = 0;
     report::latency_histogram m_queued;
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -4,6 +4,7 @@
 #include "figcleat/daemon/http-client-pool.h"
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/forward/load-exchange.h"
+#include "figcleat/http/connect-probe.h"
 #include "figcleat/http/server.h"
 
 #include <map>
@@ -40,6 +41,7 @@
 
     void receive(const envelope &received) override;
     void writeMetrics(report::metrics_text &page) const override;
+    [[nodiscard]] std::optional<forward::http_answer> answerOperator(const http_request &request) override;
     void onUpdate(const envelope &received, const forward::node_update &update);
     /** Takes over the fronts that coordinators know. */
     void knowFronts();
@@ -48,11 +50,18 @@
     void tick();
     /** Tells other fronts what this one has at targets, as far as that is due. */
     void shareLoad();
+    /** Tells other fronts what this one knows of prompts that crash targets, as far as that is due. */
+    void shareQuarantine();
+    /** Asks the other fronts for theirs, after the start of this one. */
+    void queryQuarantine();
+    void onQuarantineUpdate(const envelope &received, const forward::quarantine_update &update);
+    [[nodiscard]] forward::http_answer answerQuarantine(const http_request &request);
     void stopIfDone();
     void step(const forward::forward_event &event);
 
     void carryOut(forward::start_attempt &action);
     void carryOut(const forward::cancel_attempt &action);
+    void carryOut(const forward::probe_target &action);
     void carryOut(const forward::refuse_request &action);
     void carryOut(forward::send_answer &action);
     void carryOut(const forward::start_event_stream &action);
@@ -62,6 +71,7 @@
     void carryOut(const forward::request_finished &action);
     void carryOut(const forward::failed_attempt &action);
     void carryOut(const forward::notice_applied &action);
+    void carryOut(const forward::quarantine_changed &action);
 
     struct open_attempt
     {
@@ -76,11 +86,16 @@
     revision_number m_revision;
     std::uint64_t m_version = 0;
     http_client_pool m_clients;
+    connect_probe m_probes;
     std::map<attempt_number, open_attempt> m_attempts;
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
     forward::load_exchange m_loads;
     front_metrics m_counts;
+    time_point m_quarantineSharedAt {};
+    /** Queries that no other front has answered yet; none are sent after the first update. */
+    int m_quarantineQueries = 0;
+    bool m_hasQuarantineUpdate = false;
     event *m_shareLater = nullptr;
 };
 
--- a/include/figcleat/daemon/node-base.h
+++ b/include/figcleat/daemon/node-base.h
@@ -7,6 +7,7 @@
 #include "figcleat/forward/dialect.h"
 
 #include <memory>
+#include <optional>
 
 namespace figcleat
 {
@@ -50,6 +51,8 @@
 
     virtual void receive(const envelope &received) = 0;
     virtual void writeMetrics(report::metrics_text &page) const = 0;
+    /** Answers a request of an operator on the address for metrics; `nullopt` if it is for the metrics themselves. */
+    [[nodiscard]] virtual std::optional<forward::http_answer> answerOperator(const http_request &request);
 
     forward::node_settings m_settings;
     const forward::dialect *m_dialect;
@@ -63,7 +66,7 @@
     coordinator_links m_links;
 
 private:
-    [[nodiscard]] forward::http_answer answerMetrics(const http_request &request) const;
+    [[nodiscard]] forward::http_answer answerMetrics(const http_request &request);
 
     std::unique_ptr<reply_server> m_metrics;
 };
--- a/include/figcleat/daemon/process-message.h
+++ b/include/figcleat/daemon/process-message.h
@@ -4,6 +4,7 @@
 #include "figcleat/consensus/messages.h"
 #include "figcleat/distribution/messages.h"
 #include "figcleat/forward/node-messages.h"
+#include "figcleat/forward/quarantine-messages.h"
 #include "figcleat/report/service-level.h"
 #include "figcleat/target/messages.h"
 #include "figcleat/wire/codec.h"
@@ -101,7 +102,8 @@
                    distribution::fetch_declined, distribution::configuration_copy, consensus::raft_message,
                    forward::node_poll, forward::node_update, forward::node_load, forward::control_renewal,
                    group::control_invitation, group::control_grant, group::control_announcement, group::rank_report,
-                   group::rank_result, group::group_report, group::rank_command, group::multi_rank_command>;
+                   group::rank_result, group::group_report, group::rank_command, group::multi_rank_command,
+                   forward::quarantine_update>;
 
 struct envelope
 {
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "figcleat/forward/event-splitter.h"
 #include "figcleat/forward/pace-controller.h"
+#include "figcleat/forward/part-quarantine.h"
 #include "figcleat/forward/target-pool.h"
 #include "figcleat/http/server.h"
 #include "figcleat/request/retry-budget.h"
@@ -124,12 +125,26 @@
     bool notSent = false;
 };
 
+/** Result of `probe_target`. */
+struct target_probed
+{
+    target_incarnation incarnation;
+    /** Nothing accepted the connection. */
+    bool isDown = false;
+};
+
+/** Another front sent what it knows of prompts that crash targets. */
+struct quarantine_received
+{
+    quarantine_update update;
+};
+
 struct forward_tick
 {
 };
 
 using forward_event = std::variant<request_arrived, caller_disconnected, answer_started, answer_bytes, answer_ended,
-                                   attempt_failed, forward_tick>;
+                                   attempt_failed, target_probed, quarantine_received, forward_tick>;
 
 // Outputs of `forwarder::step`, which the caller of `step` carries out.
 
@@ -144,6 +159,13 @@
     attempt_number attempt;
 };
 
+/** Opens a connection to the target and closes it, to see whether the target is down. */
+struct probe_target
+{
+    target_incarnation incarnation;
+    std::string address;
+};
+
 struct refuse_request
 {
     exchange_id exchange;
@@ -251,9 +273,15 @@
     target_notice notice;
 };
 
-using forward_action
-    = std::variant<start_attempt, cancel_attempt, refuse_request, send_answer, start_event_stream, send_events,
-                   end_event_stream, abort_answer, request_finished, failed_attempt, notice_applied>;
+/** The quarantine of a prompt part began, was tried or ended. */
+struct quarantine_changed
+{
+    quarantine_note note;
+};
+
+using forward_action = std::variant<start_attempt, cancel_attempt, probe_target, refuse_request, send_answer,
+                                    start_event_stream, send_events, end_event_stream, abort_answer, request_finished,
+                                    failed_attempt, notice_applied, quarantine_changed>;
 
 /** Load of a service as measured by this node. */
 struct service_load
@@ -285,6 +313,9 @@
     std::uint32_t retrySlack = 0;
     duration retryWindow = std::chrono::seconds(10);
     std::uint64_t seed = 1;
+    /** This front, as other fronts know it. */
+    peer_address self {};
+    incarnation_id incarnation {};
 };
 
 /**
@@ -308,6 +339,8 @@
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setNodeCount(std::uint32_t nodes);
     [[nodiscard]] target_pool &pool();
+    [[nodiscard]] part_quarantine &quarantine();
+    [[nodiscard]] const part_quarantine &quarantine() const;
     [[nodiscard]] std::size_t requestsInProgress() const;
     [[nodiscard]] bool hasRoutes() const;
     [[nodiscard]] std::uint32_t nodeCount() const;
@@ -320,13 +353,17 @@
         exchange_id exchange;
         /** Start of the attempt, with the target's incarnation at that time. */
         started_attempt started;
+        std::string address;
         time_point lastProgress {};
         std::optional<answer_head> head;
         std::string body;
         /** The target has not yet sent the first bytes of a stream, so it is still reading the prompt. */
         bool readsPrompt = false;
-        /** A byte of the answer's body has arrived. */
-        bool hasBody = false;
+        time_point headAt {};
+        /** Arrival of the first byte of the answer's body. */
+        std::optional<time_point> firstBodyAt;
+        /** The target has written the answer for long enough to show that the request does not crash it. */
+        bool isSound = false;
     };
 
     /** How the last attempt at a request ended. */
@@ -371,6 +408,10 @@
         bool isStreaming = false;
         /** The request is queued until a target has capacity. */
         bool isWaiting = false;
+        /** The last target may have crashed because of this request; a retry waits for evidence of other fronts. */
+        std::optional<time_point> retryHeldUntil;
+        /** Set if the request is the trial of a quarantine: a part in quarantine. */
+        std::optional<prompt_part_id> trialPart;
         event_splitter events;
         /** Share of this request in `m_bufferedBytes`. */
         std::size_t bufferedBytes = 0;
@@ -382,16 +423,37 @@
     void handle(const answer_bytes &event);
     void handle(const answer_ended &event);
     void handle(const attempt_failed &event);
+    void handle(const target_probed &event);
+    void handle(const quarantine_received &event);
     void handle(const forward_tick &event);
 
     /** Accepts the answer, or ends the attempt if the answer cannot be passed to the caller. */
     void evaluateAnswer(const answer_started &event, attempt_state &attempt);
     [[nodiscard]] std::optional<refusal> admit(request_state &state, const caller_request &request);
     [[nodiscard]] service_id pickService(const route &matchedRoute);
+    /** Ends the request, or keeps it queued, while its retry is held; false if it may be assigned to a target. */
+    [[nodiscard]] bool isRetryHeld(exchange_id exchange, request_state &state);
     /** Starts an attempt if a target has capacity; otherwise queues the request or ends it with an error. */
     void assignTarget(exchange_id exchange, request_state &state);
     void startAttempt(exchange_id exchange, request_state &state, const directory_entry &target);
     void assignWaitingRequests();
+    [[nodiscard]] quarantine_verdict reviewPrompt(request_state &state);
+    [[nodiscard]] expected<directory_entry> chooseTarget(const request_state &state, const quarantine_verdict &verdict);
+    void rejectQuarantined(exchange_id exchange, request_state &state, const reject_request &rejection);
+    /** Checks each request for its deadline, a stalled target and the quarantine. */
+    void checkRequests();
+    /** Ends requests that are in quarantine and whose targets have not begun their answers. */
+    void checkQuarantine(exchange_id exchange, request_state &state);
+    /** Records that the attempt ended, as evidence about the prompt's parts. */
+    void recordFailureEvidence(request_state &state, const attempt_state &attempt);
+    /** True if targets of the service send the head of an answer together with the first bytes of its body. */
+    [[nodiscard]] bool sendsHeadWithBody(const service_id &service) const;
+    /** Records that the request is sound once its target has written for long enough. */
+    void recordProgress(const request_state &state, attempt_state &attempt);
+    void recordHeadGap(const service_id &service, duration gap);
+    /** Returns how long requests have been waiting at targets of the service without any answer beginning. */
+    [[nodiscard]] duration stalledFor(const service_id &service) const;
+    void reportQuarantineChanges();
     /** Ends the request if its deadline has passed. */
     void checkDeadline(exchange_id exchange, request_state &state);
     void checkStalledTarget(exchange_id exchange, request_state &state);
@@ -422,6 +484,7 @@
 
     forwarder_settings m_settings;
     target_pool m_pool;
+    part_quarantine m_quarantine;
     std::shared_ptr<const route_index> m_routes;
     std::uint32_t m_nodes;
     time_point m_now {};
@@ -438,6 +501,15 @@
         time_point updatedAt {};
     };
     std::map<service_id, start_rate> m_startRates;
+    /** Exponentially smoothed time from the head of an answer to its body, over the last answers. */
+    struct head_gap
+    {
+        duration mean {};
+        std::uint32_t answers = 0;
+        /** When the body of an answer began last. */
+        time_point lastBegunAt {};
+    };
+    std::map<service_id, head_gap> m_headGaps;
     std::map<service_id, request::retry_budget> m_budgets;
     std::map<service_id, std::uint64_t> m_retries;
     /** Controllers of the services that answer with streams. */
--- a/include/figcleat/forward/load-exchange.h
+++ b/include/figcleat/forward/load-exchange.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace figcleat::forward
@@ -60,6 +61,11 @@
     [[nodiscard]] bool takePeerLoadsChanged(time_point now);
     /** True if fronts exchange load without a relay, so that known loads are only a few milliseconds old. */
     [[nodiscard]] bool isDirect() const;
+    /**
+     * Returns the fronts to which this one sends what all fronts have to know: the relay of its data centre or, for a
+     * relay, the members of its data centre and the relays of others; all other fronts if they exchange load directly.
+     */
+    [[nodiscard]] std::set<peer_address> neighbours(time_point now) const;
     /** True if this front is the relay of its data centre. */
     [[nodiscard]] bool isRelay(time_point now) const;
 
@@ -87,6 +93,8 @@
     [[nodiscard]] data_centre_id dataCentreOf(const peer_address &front) const;
     /** Time between messages to a relay that keeps it within `maxRelayMessagesPerSecond`; at least `minPeriod`. */
     [[nodiscard]] duration period() const;
+    /** Returns the fronts that receive the sums of a relay of another data centre. */
+    [[nodiscard]] std::set<peer_address> relaysOfOthers(time_point now) const;
     [[nodiscard]] std::vector<load_message> directMessages(const std::vector<target_use> &own) const;
     [[nodiscard]] std::vector<load_message> relayMessages(const std::vector<target_use> &own, time_point now) const;
     /** Adds the received loads of one scope. */
--- a/include/figcleat/forward/target-directory.h
+++ b/include/figcleat/forward/target-directory.h
@@ -41,6 +41,7 @@
     std::int64_t startedMs = 0;
 
     bool operator==(const target_incarnation &) const = default;
+    MSGPACK_DEFINE(target, startedMs)
 };
 
 /** The state and properties that a target reports when it registers. */
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -130,6 +130,15 @@
      */
     [[nodiscard]] expected<directory_entry> choose(const service_id &service, const std::set<target_id> &excluded,
                                                    const choice_limits &limits, time_point now);
+    /**
+     * Selects the target for requests with a part that may crash targets.
+     *
+     * All nodes that know the same targets select the same one, so that at most one group is lost. Errors as of
+     * `choose`; `target_at_limit` also if the selected target reads a prompt or is cold.
+     */
+    [[nodiscard]] expected<directory_entry> chooseConfined(const service_id &service, const prompt_part_id &part,
+                                                           const std::set<target_id> &excluded,
+                                                           const choice_limits &limits, time_point now);
     /** True if the target is ready, its data centre is not evacuated and it sent no leaving notice. */
     [[nodiscard]] bool isOpen(const directory_entry &entry) const;
 
@@ -231,6 +240,8 @@
 
     /** Returns a random candidate among those within the load tolerance of the lowest score. */
     [[nodiscard]] const directory_entry *pickCandidate(std::vector<candidate> &candidates);
+    /** True if the target is open, in no backoff, not blocked and not in a group known to be broken. */
+    [[nodiscard]] bool isUsable(const directory_entry &entry, const target_record &record, time_point now) const;
     /** True if a list of engine conditions was received recently. */
     [[nodiscard]] bool hasCurrentEngines(time_point now) const;
     /** Both overloads return true if the notice changed `notices`. */
--- a/src/core/result-code.cc
+++ b/src/core/result-code.cc
@@ -11,7 +11,7 @@
 using enum result_code;
 using enum execution;
 
-constexpr std::array<result_info, 86> table { {
+constexpr std::array<result_info, 87> table { {
     { ok, "ok", ran, 200, 0, "The request ran and its whole answer was delivered." },
     { malformed_request, "malformed_request", not_run, 400, 10, "The HTTP request cannot be parsed." },
     { header_too_large, "header_too_large", not_run, 431, 10, "The headers exceed 16 KiB." },
@@ -40,6 +40,8 @@
     { not_configured, "not_configured", not_run, 503, 11, "The process holds no configuration yet." },
     { agreement_unavailable, "agreement_unavailable", not_run, 503, 11, "No quorum of voters can be reached." },
     { claims_full, "claims_full", not_run, 503, 11, "The table of idempotency keys is full." },
+    { prompt_quarantined, "prompt_quarantined", not_run, 503, 11,
+      "Requests with a part of this prompt have crashed targets." },
     { stale_incarnation, "stale_incarnation", not_run, 503, 11,
       "The dispatch names an earlier incarnation of the target." },
     { stale_fence, "stale_fence", not_run, 503, 11, "The dispatch or order carries an old fencing number." },
@@ -139,7 +141,7 @@
     return row != table.end() && row->code == code ? *row : table.back();
 }
 
-const std::array<result_info, 86> &resultTable()
+const std::array<result_info, 87> &resultTable()
 {
     return table;
 }
--- a/src/daemon/front-metrics.cc
+++ b/src/daemon/front-metrics.cc
@@ -41,6 +41,11 @@
                noted.notice);
 }
 
+void front_metrics::record(const forward::quarantine_changed &changed)
+{
+    ++m_quarantineChanges[changed.note.change];
+}
+
 void front_metrics::write(report::metrics_text &page) const
 {
     for (const auto &[what, count] : m_requests) {
@@ -55,6 +60,14 @@
                                  forward::toString(what.stage)),
                      count);
     }
+    using forward::quarantine_change;
+    for (const auto &[change, state] :
+         { std::pair(quarantine_change::started, "started"), std::pair(quarantine_change::trial, "trial"),
+           std::pair(quarantine_change::released, "released") }) {
+        const auto count = m_quarantineChanges.find(change);
+        page.counter("figcleat_quarantine_changes_total", "Quarantines that began, were tried or ended here.",
+                     fmt::format("state=\"{}\"", state), count == m_quarantineChanges.end() ? 0 : count->second);
+    }
     constexpr auto notices = "figcleat_target_notices_total";
     constexpr auto noticesHelp = "Lives of targets that said they leave, and rests that targets asked for.";
     page.counter(notices, noticesHelp, "says=\"leaving\"", m_leaving);
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -4,7 +4,10 @@
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 
+#include <algorithm>
+#include <cctype>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace figcleat
 {
@@ -33,6 +36,13 @@
 /** A longer path is cut off in the log, so that callers cannot fill it. */
 constexpr std::size_t loggedPathBytes = 200;
 constexpr std::size_t loggedPartsBytes = 200;
+/** A lost message about quarantines is replaced after this time. */
+constexpr duration quarantineRepeatPeriod = std::chrono::seconds(2);
+/** News of several requests within this time go into one message. */
+constexpr duration quarantineMinPeriod = std::chrono::milliseconds(10);
+/** A front that has just started asks the others this often, each time it polls, what is in quarantine. */
+constexpr int maxQuarantineQueries = 8;
+constexpr std::string_view quarantinePath = "/quarantine";
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
 
@@ -48,7 +58,8 @@
     return logFor(part::request);
 }
 
-forward::forwarder_settings forwarderSettings(const forward::node_settings &settings, std::uint64_t random)
+forward::forwarder_settings forwarderSettings(const forward::node_settings &settings, std::uint64_t random,
+                                              const peer_address &self, incarnation_id incarnation)
 {
     forward::forwarder_settings chosen;
     chosen.pool.dataCentre = settings.dataCentre;
@@ -57,6 +68,8 @@
     chosen.retrySlack = settings.bounds.retrySlack;
     chosen.retryWindow = settings.bounds.retryWindow;
     chosen.seed = random;
+    chosen.self = self;
+    chosen.incarnation = incarnation;
     return chosen;
 }
 
@@ -99,12 +112,89 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+std::string joined(const std::vector<prompt_part_id> &parts)
+{
+    std::string list;
+    for (const auto &one : parts) {
+        list += (list.empty() ? "" : ",") + one.value;
+    }
+    return list;
+}
+
+/** Crashed targets and the fronts that reported them, `TARGET@FRONT`. */
+std::string witnesses(const forward::quarantine_record &record)
+{
+    std::string list;
+    for (const auto &one : record.witnesses) {
+        list += (list.empty() ? "" : ",") + one.target.target.value + "@" + one.reporter.value;
+    }
+    return list;
+}
+
+std::string_view toString(forward::quarantine_origin origin)
+{
+    return origin == forward::quarantine_origin::crashes ? "crashes" : "operator";
+}
+
+std::string_view toString(forward::quarantine_change change)
+{
+    switch (change) {
+    case forward::quarantine_change::started:
+        return "started";
+    case forward::quarantine_change::trial:
+        return "trial";
+    case forward::quarantine_change::released:
+        return "released";
+    }
+    return "";
+}
+
+/** JSON for operators: what is refused, why, since when, and on whose evidence. */
+std::string quarantineTable(const std::vector<forward::quarantine_status> &all)
+{
+    auto table = nlohmann::json::array();
+    for (const auto &one : all) {
+        const auto &record = one.record;
+        auto evidence = nlohmann::json::array();
+        for (const auto &witness : record.witnesses) {
+            evidence.push_back({ { "target", witness.target.target.value },
+                                 { "started", witness.target.startedMs },
+                                 { "reporter", witness.reporter.value } });
+        }
+        const bool hasTrial = record.origin == forward::quarantine_origin::crashes;
+        table.push_back({ { "parts", joined(record.parts) },
+                          { "reason", toString(record.origin) },
+                          { "since_ms", record.sinceMs },
+                          { "evidence", std::move(evidence) },
+                          { "trials", record.trials },
+                          { "next_trial_ms", hasTrial ? nlohmann::json(record.nextTrialMs) : nlohmann::json() },
+                          { "rejected_here", one.rejected } });
+    }
+    return table.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+void writeQuarantine(report::metrics_text &page, const forward::part_quarantine &quarantine, time_point now)
+{
+    const auto all = quarantine.status(now);
+    page.gauge("figcleat_quarantines", "Sets of prompt parts whose requests are refused.", {},
+               static_cast<double>(all.size()));
+    page.gauge("figcleat_target_crashes", "Recent crashes of targets at the start of an answer, of all fronts.", {},
+               static_cast<double>(quarantine.evidence().crashCount()));
+    for (const auto &one : all) {
+        constexpr double perSecond = 1000.0;
+        page.gauge("figcleat_quarantine_age_seconds", "Time since requests with these parts are refused.",
+                   fmt::format("parts=\"{}\",reason=\"{}\"", joined(one.record.parts), toString(one.record.origin)),
+                   static_cast<double>(one.record.sinceMs) / perSecond);
+    }
+}
+
 } // namespace
 
 front_node::front_node(node_context context)
     : node_base(std::move(context))
-    , m_forwarder(forwarderSettings(m_settings, m_random))
+    , m_forwarder(forwarderSettings(m_settings, m_random, m_self, m_incarnation))
     , m_clients(m_loop, callSettings, *this)
+    , m_probes(m_loop->base())
     , m_loads(m_self, m_settings.dataCentre)
 {
     m_forwarder.pool().setDirectory(&m_directory);
@@ -125,7 +215,10 @@
     if (auto readiness = openReadiness(); !readiness) {
         return readiness;
     }
-    m_shareLater = m_loop->deferred([this] { shareLoad(); });
+    m_shareLater = m_loop->deferred([this] {
+        shareLoad();
+        shareQuarantine();
+    });
     m_loop->every(tickPeriod, [this] { tick(); });
     m_loop->every(pollPeriod, [this] { poll(); });
     poll();
@@ -179,12 +272,50 @@
     }
     page.gauge("figcleat_fronts", "Fronts among which limits are shared, this one included.", {},
                m_forwarder.nodeCount());
+    writeQuarantine(page, m_forwarder.quarantine(), now());
     page.gauge("figcleat_configuration_version", "Version of the configuration in force.", {},
                static_cast<double>(m_version));
     page.gauge("figcleat_targets", "Registrations that are known.", {},
                static_cast<double>(m_directory.entries().size()));
 }
 
+std::optional<forward::http_answer> front_node::answerOperator(const http_request &request)
+{
+    if (!std::string_view(request.path).starts_with(quarantinePath)) {
+        return std::nullopt;
+    }
+    return answerQuarantine(request);
+}
+
+forward::http_answer front_node::answerQuarantine(const http_request &request)
+{
+    constexpr int okStatus = 200;
+    constexpr int methodNotAllowed = 405;
+    constexpr int badRequest = 400;
+    auto &quarantine = m_forwarder.quarantine();
+    std::string_view part(request.path);
+    part.remove_prefix(std::min(part.size(), quarantinePath.size() + 1));
+    const bool isPart = std::all_of(part.begin(), part.end(), [](unsigned char c) { return std::isalnum(c) != 0; });
+    if (!isPart || part.size() > loggedPathBytes) {
+        return { badRequest, {}, {} };
+    }
+    expected<void> done;
+    if (request.method == "PUT" && !part.empty()) {
+        done = quarantine.quarantine({ std::string(part) }, now());
+    } else if (request.method == "DELETE" && !part.empty()) {
+        done = quarantine.release({ std::string(part) }, now());
+    } else if (request.method != "GET") {
+        return { methodNotAllowed, {}, {} };
+    }
+    step(forward::forward_tick {});
+    const http_headers headers { { "Content-Type", "application/json" } };
+    if (!done) {
+        const auto &info = describe(done.error().code);
+        return { info.httpStatus, headers, nlohmann::json { { "error", info.name } }.dump() + "\n" };
+    }
+    return { okStatus, headers, quarantineTable(quarantine.status(now())) };
+}
+
 void front_node::onRequest(exchange_id exchange, http_request request)
 {
     step(forward::request_arrived { exchange, m_dialect->decodeRequest(std::move(request)) });
@@ -231,6 +362,7 @@
     std::visit(overloaded {
                    [&](const forward::node_update &update) { onUpdate(received, update); },
                    [&](const forward::node_load &load) { m_loads.receive(received.from, load, now()); },
+                   [&](const forward::quarantine_update &update) { onQuarantineUpdate(received, update); },
                    [](const auto &) {},
                },
                received.message);
@@ -265,6 +397,7 @@
     if (!fronts.empty()) {
         m_forwarder.setNodeCount(static_cast<std::uint32_t>(fronts.size()));
         m_loads.setFronts(fronts);
+        queryQuarantine();
     }
 }
 
@@ -317,11 +450,50 @@
     }
 }
 
+void front_node::onQuarantineUpdate(const envelope &received, const forward::quarantine_update &update)
+{
+    if (update.isQuery) {
+        m_messenger->send(received.from, m_forwarder.quarantine().update(now()));
+        return;
+    }
+    m_hasQuarantineUpdate = true;
+    step(forward::quarantine_received { update });
+}
+
+void front_node::shareQuarantine()
+{
+    auto &quarantine = m_forwarder.quarantine();
+    const time_point at = now();
+    const duration since = at - m_quarantineSharedAt;
+    const bool isRepeat = !quarantine.isEmpty() && since >= quarantineRepeatPeriod;
+    if (since < quarantineMinPeriod || (!quarantine.takeNews(m_loads.isRelay(at)) && !isRepeat)) {
+        return;
+    }
+    m_quarantineSharedAt = at;
+    const auto update = quarantine.update(at);
+    for (const auto &front : m_loads.neighbours(at)) {
+        m_messenger->send(front, update);
+    }
+}
+
+void front_node::queryQuarantine()
+{
+    if (m_hasQuarantineUpdate || m_quarantineQueries >= maxQuarantineQueries) {
+        return;
+    }
+    const auto fronts = m_loads.neighbours(now());
+    m_quarantineQueries += fronts.empty() ? 0 : 1;
+    for (const auto &front : fronts) {
+        m_messenger->send(front, forward::quarantine_update { .isQuery = true });
+    }
+}
+
 void front_node::tick()
 {
     m_messenger->tick();
     step(forward::forward_tick {});
     shareLoad();
+    shareQuarantine();
     stopIfDone();
 }
 
@@ -374,6 +546,13 @@
     }
 }
 
+void front_node::carryOut(const forward::probe_target &action)
+{
+    m_probes.start(action.address, connectTimeout, [this, incarnation = action.incarnation](bool isListening) {
+        step(forward::target_probed { incarnation, !isListening });
+    });
+}
+
 void front_node::carryOut(const forward::refuse_request &action)
 {
     const auto answer = m_dialect->encodeRefusal(action.details);
@@ -455,4 +634,13 @@
                action.notice);
 }
 
+void front_node::carryOut(const forward::quarantine_changed &action)
+{
+    m_counts.record(action);
+    const auto &record = action.note.record;
+    logger()->warn("event=quarantine state={} parts={} reason={} since_ms={} trials={} next_trial_ms={} evidence={}",
+                   toString(action.note.change), joined(record.parts), toString(record.origin), record.sinceMs,
+                   record.trials, record.nextTrialMs, witnesses(record));
+}
+
 } // namespace figcleat
--- a/src/daemon/node-base.cc
+++ b/src/daemon/node-base.cc
@@ -65,10 +65,18 @@
     }
 }
 
-forward::http_answer node_base::answerMetrics(const http_request &request) const
+std::optional<forward::http_answer> node_base::answerOperator(const http_request & /*request*/)
+{
+    return std::nullopt;
+}
+
+forward::http_answer node_base::answerMetrics(const http_request &request)
 {
     constexpr int okStatus = 200;
     constexpr int methodNotAllowed = 405;
+    if (auto answer = answerOperator(request); answer) {
+        return std::move(*answer);
+    }
     if (request.method != "GET") {
         return { methodNotAllowed, {}, {} };
     }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -1,5 +1,7 @@
 #include "figcleat/forward/forwarder.h"
 
+#include "figcleat/core/overloaded.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -47,6 +49,14 @@
 constexpr double rateTimeConstant = 1.0;
 /** Queue length that is always allowed, so that a node with few requests can queue at all. */
 constexpr double minQueueLength = 1;
+/** Other fronts tell within this time whether they know the parts of a request to be sound. */
+constexpr duration crashReviewTime = std::chrono::milliseconds(200);
+/** Below this mean the head of an answer comes together with the first bytes of its body. */
+constexpr duration togetherGap = std::chrono::milliseconds(1);
+/** Answers after which that mean is known; it is smoothed over about as many. */
+constexpr std::uint32_t headGapAnswers = 5;
+/** Requests with a suspected part share one target, so they may wait this long for it. */
+constexpr duration confinedWait = std::chrono::milliseconds(600);
 
 bool isSuccess(int status)
 {
@@ -73,6 +83,7 @@
 forwarder::forwarder(forwarder_settings settings)
     : m_settings(std::move(settings))
     , m_pool(m_settings.pool)
+    , m_quarantine(m_settings.self, m_settings.incarnation)
     , m_nodes(assumedNodes)
     , m_random(m_settings.seed)
 {
@@ -98,6 +109,16 @@
     return m_pool;
 }
 
+part_quarantine &forwarder::quarantine()
+{
+    return m_quarantine;
+}
+
+const part_quarantine &forwarder::quarantine() const
+{
+    return m_quarantine;
+}
+
 std::size_t forwarder::requestsInProgress() const
 {
     return m_requests.size();
@@ -117,6 +138,7 @@
 {
     m_now = now;
     std::visit([this](const auto &received) { handle(received); }, event);
+    reportQuarantineChanges();
     return std::exchange(m_actions, {});
 }
 
@@ -193,14 +215,15 @@
         failRequest(exchange, state, result_code::deadline_too_near);
         return;
     }
-    const auto limits = limitsFor(state);
-    auto target = m_pool.choose(state.service, state.triedTargets, limits, m_now);
-    if (!target && target.error().code == result_code::no_target && !state.triedTargets.empty()
-        && isIdempotent(state)) {
-        // No untried target is usable. One that failed earlier is better than none, so only the last one stays
-        // excluded.
-        target = m_pool.choose(state.service, { state.lastTarget }, limits, m_now);
+    if (isRetryHeld(exchange, state)) {
+        return;
     }
+    const auto verdict = reviewPrompt(state);
+    if (const auto *rejection = std::get_if<reject_request>(&verdict); rejection != nullptr) {
+        rejectQuarantined(exchange, state, *rejection);
+        return;
+    }
+    const auto target = chooseTarget(state, verdict);
     if (target) {
         startAttempt(exchange, state, *target);
         return;
@@ -218,6 +241,153 @@
     m_waiting.push_back(exchange);
 }
 
+quarantine_verdict forwarder::reviewPrompt(request_state &state)
+{
+    const auto &parts = state.request->sharedParts;
+    if (parts.empty()) {
+        return admit_request {};
+    }
+    if (state.trialPart) {
+        return try_request { *state.trialPart };
+    }
+    auto verdict = m_quarantine.review(parts, m_now);
+    if (const auto *trial = std::get_if<try_request>(&verdict); trial != nullptr) {
+        state.trialPart = trial->part;
+    }
+    if (!std::holds_alternative<admit_request>(verdict)) {
+        state.waitUntil = std::max(state.waitUntil, state.arrivedAt + confinedWait);
+    }
+    return verdict;
+}
+
+expected<directory_entry> forwarder::chooseTarget(const request_state &state, const quarantine_verdict &verdict)
+{
+    const auto limits = limitsFor(state);
+    const auto confined = [&](const prompt_part_id &part) {
+        return m_pool.chooseConfined(state.service, part, state.triedTargets, limits, m_now);
+    };
+    const auto any = [&] {
+        auto target = m_pool.choose(state.service, state.triedTargets, limits, m_now);
+        if (!target && target.error().code == result_code::no_target && !state.triedTargets.empty()
+            && isIdempotent(state)) {
+            // No untried target is usable. One that failed earlier is better than none, so only the last one stays
+            // excluded.
+            target = m_pool.choose(state.service, { state.lastTarget }, limits, m_now);
+        }
+        return target;
+    };
+    return std::visit(overloaded { [&](const confine_request &what) { return confined(what.part); },
+                                   [&](const try_request &what) { return confined(what.part); },
+                                   [&](const auto &) { return any(); } },
+                      verdict);
+}
+
+void forwarder::rejectQuarantined(exchange_id exchange, request_state &state, const reject_request &rejection)
+{
+    const bool isUntouched = state.executionCount == 0 && !state.isStreaming && !state.fallbackAnswer;
+    if (isUntouched) {
+        refuse(exchange, state, { result_code::prompt_quarantined, false, rejection.retryAfter });
+    } else {
+        failRequest(exchange, state, result_code::prompt_quarantined);
+    }
+}
+
+bool forwarder::isRetryHeld(exchange_id exchange, request_state &state)
+{
+    if (!state.retryHeldUntil) {
+        return false;
+    }
+    const auto &parts = state.request->sharedParts;
+    const bool isSuspect = m_quarantine.isSuspect(parts);
+    if (isSuspect && !m_quarantine.isRejected(parts) && m_now < *state.retryHeldUntil) {
+        state.isWaiting = true;
+        m_waiting.push_back(exchange);
+        return true;
+    }
+    state.retryHeldUntil.reset();
+    if (isSuspect || !takeRetry(state.service)) {
+        failRequest(exchange, state, result_code::target_lost);
+        return true;
+    }
+    return false;
+}
+
+void forwarder::recordFailureEvidence(request_state &state, const attempt_state &attempt)
+{
+    const auto &parts = state.request->sharedParts;
+    if (attempt.isSound || parts.empty()) {
+        return;
+    }
+    const bool isAtStart
+        = attempt.head && isSuccess(attempt.head->status) && !attempt.firstBodyAt && sendsHeadWithBody(state.service);
+    const duration stalled = std::max(stalledFor(state.service), m_now - attempt.started.startedAt);
+    m_quarantine.onFailure({ attempt.started.incarnation, parts, isAtStart, stalled }, m_now);
+    m_actions.emplace_back(probe_target { attempt.started.incarnation, attempt.address });
+    if (m_quarantine.isSuspect(parts)) {
+        state.retryHeldUntil = m_now + crashReviewTime;
+    }
+}
+
+void forwarder::recordProgress(const request_state &state, attempt_state &attempt)
+{
+    if (!attempt.firstBodyAt) {
+        attempt.firstBodyAt = m_now;
+        recordHeadGap(state.service, m_now - attempt.headAt);
+    }
+    if (!attempt.isSound && m_now - *attempt.firstBodyAt >= crash_evidence::proofTime) {
+        attempt.isSound = true;
+        m_quarantine.onSound(state.request->sharedParts, m_now);
+    }
+}
+
+bool forwarder::sendsHeadWithBody(const service_id &service) const
+{
+    const auto gap = m_headGaps.find(service);
+    return gap != m_headGaps.end() && gap->second.answers >= headGapAnswers && gap->second.mean < togetherGap;
+}
+
+duration forwarder::stalledFor(const service_id &service) const
+{
+    time_point oldest = m_now;
+    for (const auto &[number, attempt] : m_attempts) {
+        if (!attempt.head && m_requests.at(attempt.exchange).service == service) {
+            oldest = std::min(oldest, attempt.started.startedAt);
+        }
+    }
+    const auto begun = m_headGaps.find(service);
+    return m_now - (begun == m_headGaps.end() ? oldest : std::max(oldest, begun->second.lastBegunAt));
+}
+
+void forwarder::recordHeadGap(const service_id &service, duration gap)
+{
+    auto &known = m_headGaps[service];
+    known.answers = std::min(known.answers + 1, headGapAnswers);
+    known.mean += (gap - known.mean) / known.answers;
+    known.lastBegunAt = m_now;
+}
+
+void forwarder::checkQuarantine(exchange_id exchange, request_state &state)
+{
+    const auto found = m_attempts.find(state.currentAttempt);
+    if (found == m_attempts.end() || found->second.firstBodyAt || state.trialPart
+        || !m_quarantine.isRejected(state.request->sharedParts)) {
+        return;
+    }
+    // The target has not begun its answer, so closing the connection may save it.
+    m_actions.emplace_back(cancel_attempt { state.currentAttempt });
+    state.executionCount += 1;
+    endAttempt(state, attempt_result::abandoned);
+    recordFailedAttempt(state, std::string(describe(result_code::prompt_quarantined).name), "end");
+    failRequest(exchange, state, result_code::prompt_quarantined);
+}
+
+void forwarder::reportQuarantineChanges()
+{
+    for (auto &note : m_quarantine.takeNotes()) {
+        m_actions.emplace_back(quarantine_changed { std::move(note) });
+    }
+}
+
 void forwarder::startAttempt(exchange_id exchange, request_state &state, const directory_entry &target)
 {
     m_lastAttempt = m_lastAttempt.next();
@@ -231,6 +401,7 @@
     attempt_state attempt;
     attempt.exchange = exchange;
     attempt.started = { target.latest.incarnation(), m_now };
+    attempt.address = target.latest.address;
     attempt.lastProgress = m_now;
     attempt.readsPrompt = state.matchedRoute->kind == route_kind::stream;
     m_pool.onStarted(target.latest.incarnation(), attempt.readsPrompt);
@@ -356,7 +527,7 @@
     if (!attempt.head) {
         return attempt_stage::no_answer;
     }
-    return attempt.hasBody ? attempt_stage::writing : attempt_stage::head_only;
+    return attempt.firstBodyAt ? attempt_stage::writing : attempt_stage::head_only;
 }
 
 void forwarder::endAttempt(request_state &state, attempt_result result)
@@ -388,7 +559,15 @@
     const bool isAllowed = !mayHaveRun || mayRunAgain(state);
     const bool hasTime = state.deadline - m_now >= minTimeLeft;
     const std::string failure(describe(code).name);
-    if (isAllowed && hasTime && state.attemptCount < maxStartedAttempts && takeRetry(state.service)) {
+    const bool mayRetry = isAllowed && hasTime && state.attemptCount < maxStartedAttempts;
+    if (mayRetry && state.retryHeldUntil) {
+        recordFailedAttempt(state, failure, "held");
+        state.waitUntil = std::max(state.waitUntil, *state.retryHeldUntil + minRetryWait);
+        state.isWaiting = true;
+        m_waiting.push_back(exchange);
+        return;
+    }
+    if (mayRetry && takeRetry(state.service)) {
         recordFailedAttempt(state, failure, "retry");
         state.waitUntil = std::max(state.waitUntil, m_now + (state.isStreaming ? minResumeWait : minRetryWait));
         assignTarget(exchange, state);
@@ -437,6 +616,7 @@
 void forwarder::evaluateAnswer(const answer_started &event, attempt_state &attempt)
 {
     attempt.lastProgress = m_now;
+    attempt.headAt = m_now;
     attempt.head = event.head;
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
@@ -484,11 +664,11 @@
         return;
     }
     auto &attempt = found->second;
-    attempt.hasBody = true;
     const duration pause = m_now - std::exchange(attempt.lastProgress, m_now);
     m_pool.onProgress(attempt.started.incarnation.target, m_now);
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
+    recordProgress(state, attempt);
     if (state.isStreaming) {
         auto &pace = m_paceControllers[state.service];
         if (std::exchange(attempt.readsPrompt, false)) {
@@ -539,6 +719,11 @@
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
     state.executionCount += 1;
+    if (state.isStreaming && state.events.hasPartialEvent()) {
+        recordFailureEvidence(state, attempt);
+    } else if (!attempt.isSound && attempt.firstBodyAt && isSuccess(attempt.head->status)) {
+        m_quarantine.onSound(state.request->sharedParts, m_now);
+    }
     finishAnswer(exchange, state, std::move(*attempt.head), std::move(attempt.body));
     assignWaitingRequests();
 }
@@ -580,14 +765,42 @@
     auto &state = m_requests.at(exchange);
     state.events.dropPartialEvent();
     state.executionCount += event.notSent ? 0 : 1;
+    if (event.notSent) {
+        m_quarantine.onTargetDown(found->second.started.incarnation, m_now);
+    } else {
+        recordFailureEvidence(state, found->second);
+    }
     endAttempt(state, event.notSent ? attempt_result::unreachable : attempt_result::failed);
     retryOrFail(exchange, state, !event.notSent, result_code::target_lost);
     assignWaitingRequests();
 }
 
+void forwarder::handle(const target_probed &event)
+{
+    if (event.isDown) {
+        m_quarantine.onTargetDown(event.incarnation, m_now);
+    } else {
+        m_quarantine.onTargetUp(event.incarnation, m_now);
+    }
+    assignWaitingRequests();
+}
+
+void forwarder::handle(const quarantine_received &event)
+{
+    m_quarantine.merge(event.update, m_now);
+    checkRequests();
+}
+
 void forwarder::handle(const forward_tick & /*event*/)
 {
+    m_quarantine.tick(m_now);
     updatePaceControllers();
+    checkRequests();
+    m_pool.removeUnknownTargets();
+}
+
+void forwarder::checkRequests()
+{
     assignWaitingRequests();
     std::vector<exchange_id> exchanges;
     exchanges.reserve(m_requests.size());
@@ -601,8 +814,10 @@
         if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
             checkStalledTarget(exchange, found->second);
         }
+        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
+            checkQuarantine(exchange, found->second);
+        }
     }
-    m_pool.removeUnknownTargets();
 }
 
 void forwarder::checkDeadline(exchange_id exchange, request_state &state)
@@ -630,6 +845,10 @@
     if (found == m_attempts.end() || !isIdempotent(state) || state.executionCount + 1 >= state.matchedRoute->attempts) {
         return;
     }
+    if (state.trialPart || m_quarantine.isSuspect(state.request->sharedParts)) {
+        // A request that crashes targets is silent before it does.
+        return;
+    }
     if (m_pool.hasNoUsableTarget(state.service, { found->second.started.incarnation.target }, m_now)) {
         return;
     }
--- a/src/forward/load-exchange.cc
+++ b/src/forward/load-exchange.cc
@@ -1,7 +1,6 @@
 #include "figcleat/forward/load-exchange.h"
 
 #include <algorithm>
-#include <set>
 
 namespace figcleat::forward
 {
@@ -181,19 +180,8 @@
     addReceived(all, load_scope::node);
     add(all, own);
     const auto dataCentreLoad = nonZeroUses(all);
-    for (const auto &[dataCentre, members] : m_frontsByDataCentre) {
-        if (dataCentre == m_dataCentre) {
-            continue;
-        }
-        // After a process was suspended, this relay and the relays of other data centres consider each other silent.
-        // The first front of each data centre therefore receives the sums as well: one message in either direction
-        // clears that state.
-        const std::set<peer_address> recipients { members.front(), relayOf(dataCentre, now) };
-        for (const auto &front : recipients) {
-            if (!front.empty()) {
-                messages.push_back({ front, { load_scope::data_centre, dataCentreLoad } });
-            }
-        }
+    for (const auto &front : relaysOfOthers(now)) {
+        messages.push_back({ front, { load_scope::data_centre, dataCentreLoad } });
     }
     addReceived(all, load_scope::data_centre);
     const auto members = m_frontsByDataCentre.find(m_dataCentre);
@@ -214,6 +202,36 @@
     return messages;
 }
 
+std::set<peer_address> load_exchange::relaysOfOthers(time_point now) const
+{
+    std::set<peer_address> relays;
+    for (const auto &[dataCentre, members] : m_frontsByDataCentre) {
+        if (dataCentre != m_dataCentre) {
+            // After a process was suspended, this relay and the relays of other data centres consider each other
+            // silent. The first front of each data centre therefore receives the sums as well: one message in either
+            // direction clears that state.
+            relays.insert({ members.front(), relayOf(dataCentre, now) });
+        }
+    }
+    relays.erase(peer_address {});
+    return relays;
+}
+
+std::set<peer_address> load_exchange::neighbours(time_point now) const
+{
+    if (!isDirect() && !isRelay(now)) {
+        return { relayOf(m_dataCentre, now) };
+    }
+    auto all = isDirect() ? std::set<peer_address> {} : relaysOfOthers(now);
+    for (const auto &front : m_knownFronts) {
+        if (isDirect() || front.dataCentre == m_dataCentre) {
+            all.insert(front.address);
+        }
+    }
+    all.erase(m_self);
+    return all;
+}
+
 void load_exchange::addReceived(use_sums &sums, load_scope scope) const
 {
     for (const auto &[from, received] : m_received) {
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -1,5 +1,7 @@
 #include "figcleat/forward/target-pool.h"
 
+#include "figcleat/core/digest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -193,8 +195,7 @@
             continue;
         }
         auto &record = m_records[id];
-        if (record.blockedUntil > now || isBackingOff(entry, record, now)
-            || (hasCurrentEngines(now) && record.isGroupBroken) || (avoidsSlow && record.pace >= slowPace)) {
+        if (!isUsable(entry, record, now) || (avoidsSlow && record.pace >= slowPace)) {
             continue;
         }
         hasUsableTarget = true;
@@ -208,6 +209,36 @@
     return *pickCandidate(candidates);
 }
 
+bool target_pool::isUsable(const directory_entry &entry, const target_record &record, time_point now) const
+{
+    return isOpen(entry) && record.blockedUntil <= now && !isBackingOff(entry, record, now)
+        && !(hasCurrentEngines(now) && record.isGroupBroken);
+}
+
+expected<directory_entry> target_pool::chooseConfined(const service_id &service, const prompt_part_id &part,
+                                                      const std::set<target_id> &excluded, const choice_limits &limits,
+                                                      time_point now)
+{
+    // Rendezvous hashing: a target that is lost or full changes the choice only for the parts that it had.
+    std::map<std::uint64_t, const directory_entry *> ranked;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.latest.service == service && !excluded.contains(id) && isUsable(entry, m_records[id], now)) {
+            ranked.emplace(checksum(part.value + '\n' + id.value), &entry);
+        }
+    }
+    for (const auto &[weight, entry] : ranked) {
+        auto &record = m_records[entry->latest.target];
+        if (!isBelowRequestLimit(*entry, record, limits, now)) {
+            continue;
+        }
+        if (hasRoom(*entry, record, limits, now) && refillColdTokens(*entry, record, now)) {
+            return *entry;
+        }
+        break;
+    }
+    return fail(ranked.empty() ? result_code::no_target : result_code::target_at_limit, service.value);
+}
+
 const directory_entry *target_pool::pickCandidate(std::vector<candidate> &candidates)
 {
     const auto best = std::min_element(candidates.begin(), candidates.end(),
--- a/test/crash-fleet.h
+++ b/test/crash-fleet.h
@@ -3,6 +3,7 @@
 #include "figcleat/forward/forwarder.h"
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <random>
 
@@ -20,6 +21,8 @@
     /** Share of the requests that contain each of the deadly parts. */
     double deadlyShare = 0.05;
     std::size_t deadlyParts = 1;
+    /** Delay of a message between two fronts; beyond 16 fronts it passes relays. */
+    duration messageDelay = std::chrono::milliseconds(30);
     /** Deadly requests end their targets after the head of the answer, else before it. */
     bool sendsHead = true;
     /** Fronts learn from a coordinator which groups are broken. */
@@ -31,9 +34,11 @@
 {
     std::size_t soundRequests = 0;
     std::size_t soundServed = 0;
-    /** Times of arrivals of deadly requests at targets. */
-    std::vector<time_point> deadlyArrivals;
-    std::vector<time_point> crashesByRequest;
+    /** Sound requests that were refused because of their parts. */
+    std::size_t soundQuarantined = 0;
+    /** By deadly part, the times of arrivals at targets and of crashes. */
+    std::map<std::string, std::vector<time_point>> deadlyArrivals;
+    std::map<std::string, std::vector<time_point>> crashesByRequest;
     /** Most groups that were broken at a time. */
     std::size_t mostGroupsDown = 0;
 };
@@ -52,7 +57,7 @@
         }
         m_groups.resize(settings.groups);
         for (std::size_t i = 0; i < settings.fronts; ++i) {
-            m_fronts.push_back(makeFront(i));
+            m_fronts.push_back(makeFront(i, 1));
         }
     }
 
@@ -62,6 +67,8 @@
             arriveAtRandom();
             advanceTargets();
             advanceAttempts();
+            endProbes();
+            exchange();
             tickFronts();
         }
     }
@@ -80,10 +87,26 @@
     void crashAtRandom(std::size_t count)
     {
         for (; count > 0; --count) {
-            crash(std::uniform_int_distribution<std::size_t>(0, m_targets.size() - 1)(m_random), false);
+            crash(std::uniform_int_distribution<std::size_t>(0, m_targets.size() - 1)(m_random), {});
         }
     }
 
+    /** Cuts the fronts from `first` on from all others, or joins them again. */
+    void setCut(std::size_t first)
+    {
+        m_cutAt = first;
+    }
+
+    void restartFront(std::size_t index)
+    {
+        for (auto &[key, one] : m_attempts) {
+            one.isLost = one.isLost || one.front == index;
+        }
+        m_fronts[index] = makeFront(index, ++m_incarnations);
+        m_news.push_back(
+            { m_now + m_settings.messageDelay, index, m_fronts[nextTo(index)]->quarantine().update(m_now) });
+    }
+
     forwarder &front(std::size_t index)
     {
         return *m_fronts[index];
@@ -99,16 +122,34 @@
         return m_now;
     }
 
+    std::size_t crashesByRequest() const
+    {
+        std::size_t all = 0;
+        for (const auto &entry : m_counts.crashesByRequest) {
+            all += entry.second.size();
+        }
+        return all;
+    }
+
+    std::size_t quarantines(std::size_t index) const
+    {
+        return m_fronts[index]->quarantine().status(m_now).size();
+    }
+
     /** Deadly requests that reached targets later than `delay` after the fifth crash by a request. */
     std::size_t deadlyArrivalsAfterFifthCrash(duration delay) const
     {
         constexpr std::size_t fifth = 4;
-        if (m_counts.crashesByRequest.size() <= fifth) {
-            return 0;
+        std::size_t most = 0;
+        for (const auto &[part, crashes] : m_counts.crashesByRequest) {
+            if (crashes.size() > fifth) {
+                const auto &arrivals = m_counts.deadlyArrivals.at(part);
+                const auto late = std::count_if(arrivals.begin(), arrivals.end(),
+                                                [since = crashes[fifth] + delay](auto at) { return at > since; });
+                most = std::max(most, static_cast<std::size_t>(late));
+            }
         }
-        const auto since = m_counts.crashesByRequest[fifth] + delay;
-        return static_cast<std::size_t>(std::count_if(m_counts.deadlyArrivals.begin(), m_counts.deadlyArrivals.end(),
-                                                      [since](auto at) { return at > since; }));
+        return most;
     }
 
 private:
@@ -142,7 +183,8 @@
         time_point begins {};
         time_point ends {};
         time_point nextEvent {};
-        bool isDeadly = false;
+        /** Empty if there is none. */
+        std::string deadlyPart;
         bool hasBegun = false;
         /** The target was down when the attempt began, so that nothing could be sent. */
         bool isUnsent = false;
@@ -150,6 +192,13 @@
         bool isLost = false;
     };
 
+    struct news
+    {
+        time_point due {};
+        std::size_t to = 0;
+        quarantine_update update;
+    };
+
     static constexpr auto downTime = std::chrono::milliseconds(3000);
     static constexpr auto stallTime = std::chrono::milliseconds(1500);
     static constexpr auto formTime = std::chrono::milliseconds(600);
@@ -187,13 +236,15 @@
         return std::make_shared<const route_index>(std::move(table));
     }
 
-    std::unique_ptr<forwarder> makeFront(std::size_t index)
+    std::unique_ptr<forwarder> makeFront(std::size_t index, std::uint64_t incarnation)
     {
         forwarder_settings settings;
         settings.pool.dataCentre = { "north" };
         settings.pool.seed = m_settings.seed * 1000 + index;
         settings.seed = settings.pool.seed;
         settings.retrySlack = 92;
+        settings.self = { "10.0.0." + std::to_string(index) };
+        settings.incarnation = { incarnation * 1000 + index };
         auto made = std::make_unique<forwarder>(settings);
         m_directories.resize(std::max(m_directories.size(), index + 1));
         m_directories[index] = std::make_unique<target_directory>();
@@ -206,6 +257,11 @@
         return made;
     }
 
+    std::size_t nextTo(std::size_t index) const
+    {
+        return (index + 1) % m_settings.fronts;
+    }
+
     bool chance(double share)
     {
         return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
@@ -253,6 +309,9 @@
                 startAt(index, *start);
             } else if (auto *cancel = std::get_if<cancel_attempt>(&action); cancel != nullptr) {
                 m_attempts.erase({ index, cancel->attempt });
+            } else if (auto *probe = std::get_if<probe_target>(&action); probe != nullptr) {
+                const auto target = static_cast<std::size_t>(std::stoul(probe->incarnation.target.value.substr(1)));
+                m_probes.push_back({ index, { probe->incarnation, m_targets[target].downUntil > m_now } });
             } else if (auto *refused = std::get_if<refuse_request>(&action); refused != nullptr) {
                 onRefused(refused->exchange, refused->details);
             } else if (auto *end = std::get_if<end_event_stream>(&action); end != nullptr) {
@@ -268,6 +327,7 @@
     {
         auto one = std::move(m_clients.at(exchange));
         m_clients.erase(exchange);
+        m_counts.soundQuarantined += details.code == result_code::prompt_quarantined && !one.isDeadly ? 1 : 0;
         if (!std::exchange(one.isRetry, true)) {
             const auto wait = std::min(details.retryAfter.value_or(milliseconds(20)), milliseconds(2600));
             m_returning.emplace(m_now + wait, std::move(one));
@@ -280,25 +340,27 @@
         attempt one { .front = index, .target = target, .number = start.attempt };
         one.startedMs = m_targets[target].startedMs;
         const auto &parts = start.call.request->sharedParts;
-        one.isDeadly = std::any_of(parts.begin(), parts.end(),
-                                   [](const auto &part) { return part.value.starts_with("deadly"); });
+        for (const auto &part : parts) {
+            one.deadlyPart = part.value.starts_with("deadly") ? part.value : one.deadlyPart;
+        }
         one.begins = m_now + milliseconds(std::uniform_int_distribution<int>(40, 160)(m_random));
         one.ends = one.begins + milliseconds(std::uniform_int_distribution<int>(600, 2000)(m_random));
         one.isUnsent = m_targets[target].downUntil > m_now;
-        if (one.isDeadly && !one.isUnsent) {
-            m_counts.deadlyArrivals.push_back(m_now);
+        if (!one.deadlyPart.empty() && !one.isUnsent) {
+            m_counts.deadlyArrivals[one.deadlyPart].push_back(m_now);
         }
         m_attempts.emplace(std::pair(index, start.attempt), one);
     }
 
-    void crash(std::size_t index, bool byRequest)
+    /** @param cause part of the request that ends the target; empty for another cause */
+    void crash(std::size_t index, const std::string &cause)
     {
         auto &target = m_targets[index];
         if (target.downUntil > m_now) {
             return;
         }
-        if (byRequest) {
-            m_counts.crashesByRequest.push_back(m_now);
+        if (!cause.empty()) {
+            m_counts.crashesByRequest[cause].push_back(m_now);
         }
         target.downUntil = m_now + downTime;
         auto &group = m_groups[target.group];
@@ -359,8 +421,8 @@
             return;
         }
         if (!one.hasBegun && m_now >= one.begins) {
-            if (one.isDeadly && m_isDeadly && !m_settings.sendsHead) {
-                crash(one.target, true);
+            if (!one.deadlyPart.empty() && m_isDeadly && !m_settings.sendsHead) {
+                crash(one.target, one.deadlyPart);
             } else {
                 begin(one);
             }
@@ -381,8 +443,8 @@
         if (found == m_attempts.end()) {
             return;
         }
-        if (found->second.isDeadly && m_isDeadly) {
-            crash(found->second.target, true);
+        if (!found->second.deadlyPart.empty() && m_isDeadly) {
+            crash(found->second.target, found->second.deadlyPart);
         } else {
             writeEvent(found->second);
         }
@@ -417,11 +479,38 @@
         }
     }
 
+    void endProbes()
+    {
+        for (const auto &[front, result] : std::exchange(m_probes, {})) {
+            step(front, result);
+        }
+    }
+
     void step(std::size_t front, const forward_event &event)
     {
         carryOut(front, m_fronts[front]->step(event, m_now));
     }
 
+    void exchange()
+    {
+        for (std::size_t from = 0; from < m_fronts.size(); ++from) {
+            auto &quarantine = m_fronts[from]->quarantine();
+            const bool isRepeat
+                = !quarantine.isEmpty() && (m_now.time_since_epoch() % std::chrono::seconds(2)).count() == 0;
+            if (!quarantine.takeNews(false) && !isRepeat) {
+                continue;
+            }
+            for (std::size_t to = 0; to < m_fronts.size(); ++to) {
+                if (to != from && (from < m_cutAt) == (to < m_cutAt)) {
+                    m_news.push_back({ m_now + m_settings.messageDelay, to, quarantine.update(m_now) });
+                }
+            }
+        }
+        for (; !m_news.empty() && m_news.front().due <= m_now; m_news.pop_front()) {
+            step(m_news.front().to, quarantine_received { m_news.front().update });
+        }
+    }
+
     void tickFronts()
     {
         const bool isDue = (m_now.time_since_epoch() % std::chrono::milliseconds(25)).count() == 0;
@@ -455,8 +544,12 @@
     std::map<exchange_id, client> m_clients;
     std::multimap<time_point, client> m_returning;
     std::map<std::pair<std::size_t, attempt_number>, attempt> m_attempts;
+    std::deque<news> m_news;
+    std::vector<std::pair<std::size_t, target_probed>> m_probes;
     fleet_counts m_counts;
     std::uint64_t m_lastExchange = 0;
+    std::uint64_t m_incarnations = 1;
+    std::size_t m_cutAt = 0;
     bool m_isDeadly = true;
 };
 
