Test that an answer cut anywhere in its head is not passed on

Operators of other systems saw a target stop in the middle of its answer's head; their clients got a 200 with an empty body, framed as whole. It can't happen here: the client hands on whole heads only, and a connection that ends before that fails the attempt. One cut was tested; now every length is.

--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -236,6 +236,19 @@
     }
 }
 
+TEST_CASE("an answer that ends in the middle of its head is not passed on", "[http-client]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Seal: a\r\n\r\n";
+    for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+        INFO(bytes << " bytes of the head");
+        fixture f({ .endOfConnectionIsEnd = true });
+        f.answer({ head.substr(0, bytes) });
+        CHECK(f.log.statuses.empty());
+        CHECK(f.log.whole == 0);
+        CHECK(f.log.failed == 1);
+    }
+}
+
 TEST_CASE("a reset is not the end of an answer without a length", "[http-client]")
 {
     fixture f({ .endOfConnectionIsEnd = true });
