Refuse requests that come too late in a planned stop

What callers could see (reported by operators of other systems): a request that arrives late in the grace period is passed on and cut at its end without an answer, also one that may not be repeated. Here a caller that sends slowly on an open connection could do that: nothing looked at the time that was left.

Now the deadline of every request ends 0.7 s before the grace period does, so that it gets its final answer, and a new request is refused as not run if the time left is shorter than the longest recent answer of its route. The tests use the new entry point, so they do not compile on the code before, which passed such a request on whatever the time.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -338,6 +338,11 @@
 
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setNodeCount(std::uint32_t nodes);
+    /**
+     * Prepares a planned stop: every request gets its final answer by `end`, and a new request is refused as not run
+     * if its answer would probably take longer.
+     */
+    void stopBy(time_point end, time_point now);
     [[nodiscard]] target_pool &pool();
     [[nodiscard]] part_quarantine &quarantine();
     [[nodiscard]] const part_quarantine &quarantine() const;
@@ -430,6 +435,9 @@
     /** Accepts the answer, or ends the attempt if the answer cannot be passed to the caller. */
     void evaluateAnswer(const answer_started &event, attempt_state &attempt);
     [[nodiscard]] std::optional<refusal> admit(request_state &state, const caller_request &request);
+    /** True if the answer to a request of the route would probably not be complete before a planned stop. */
+    [[nodiscard]] bool comesTooLate(const route &matchedRoute) const;
+    void recordAnswerTime(const route &matchedRoute, duration time);
     [[nodiscard]] service_id pickService(const route &matchedRoute);
     /** Ends the request, or keeps it queued, while its retry is held; false if it may be assigned to a target. */
     [[nodiscard]] bool isRetryHeld(exchange_id exchange, request_state &state);
@@ -494,6 +502,9 @@
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
     std::size_t m_bufferedBytes = 0;
+    std::optional<time_point> m_stopBy;
+    /** Longest recent time to a complete answer; decays with each shorter one. */
+    std::map<route_id, duration> m_longestAnswers;
     /** Exponentially smoothed rate of started attempts. */
     struct start_rate
     {
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -45,6 +45,8 @@
 constexpr std::string_view quarantinePath = "/quarantine";
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr duration graceMargin = std::chrono::milliseconds(500);
+/** Requests that are still unanswered get their final answer so long before the end of the grace period. */
+constexpr duration lastAnswerMargin = std::chrono::milliseconds(700);
 
 constexpr http_client_settings callSettings { .connectTimeout = connectTimeout,
                                               .firstByteTimeout = answerTimeout,
@@ -255,6 +257,7 @@
     logger()->info("event=stop requests={}", m_forwarder.requestsInProgress());
     m_drainStarted = m_time->now();
     m_callers->closeAfterAnswers();
+    m_forwarder.stopBy(*m_drainStarted + m_settings.bounds.grace - lastAnswerMargin, *m_drainStarted);
 }
 
 bool front_node::isReady() const
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -42,6 +42,10 @@
 constexpr double minRetryDelayShare = 0.6;
 /** Retry delay for requests that are refused before their deadline is known. */
 constexpr milliseconds defaultRetryDelay { 1000 };
+/** The decay of the longest recent answer with each shorter one. */
+constexpr double longestAnswerDecay = 0.98;
+/** Expected time of an answer on a route without any yet, as a share of the route's timeout. */
+constexpr double unknownAnswerShare = 0.25;
 constexpr int firstErrorStatus = 500;
 constexpr int firstSuccessStatus = 200;
 constexpr int firstRedirectStatus = 300;
@@ -180,6 +184,9 @@
     if (keyOwner == nullptr && m_routes->hasWorkspaces() && !state.matchedRoute->isPublic) {
         return refusal { result_code::wrong_credential };
     }
+    if (comesTooLate(*state.matchedRoute)) {
+        return refusal { result_code::entry_stopping, false, defaultRetryDelay };
+    }
     state.priority = state.matchedRoute->priority;
     if (keyOwner != nullptr) {
         state.workspace = keyOwner->name;
@@ -187,12 +194,39 @@
     }
     const milliseconds timeout
         = std::min(state.matchedRoute->timeout, request.deadline.value_or(state.matchedRoute->timeout));
-    state.deadline = m_now + timeout;
+    state.deadline = std::min(m_now + timeout, m_stopBy.value_or(time_point::max()));
     const auto wait = maxWaitShare * std::chrono::duration<double>(std::min(timeout, state.matchedRoute->objective));
     state.waitUntil = m_now + std::chrono::duration_cast<duration>(wait);
     return std::nullopt;
 }
 
+void forwarder::stopBy(time_point end, time_point now)
+{
+    m_now = now;
+    m_stopBy = end;
+    for (auto &[exchange, state] : m_requests) {
+        state.deadline = std::min(state.deadline, end);
+    }
+}
+
+bool forwarder::comesTooLate(const route &matchedRoute) const
+{
+    if (!m_stopBy) {
+        return false;
+    }
+    const auto longest = m_longestAnswers.find(matchedRoute.name);
+    const duration expected = longest == m_longestAnswers.end()
+        ? std::chrono::duration_cast<duration>(unknownAnswerShare * matchedRoute.timeout)
+        : longest->second;
+    return *m_stopBy - m_now < expected;
+}
+
+void forwarder::recordAnswerTime(const route &matchedRoute, duration time)
+{
+    auto &longest = m_longestAnswers[matchedRoute.name];
+    longest = std::max(time, std::chrono::duration_cast<duration>(longestAnswerDecay * longest));
+}
+
 service_id forwarder::pickService(const route &matchedRoute)
 {
     std::uint64_t total = 0;
@@ -944,6 +978,9 @@
         && (ended.firstByteTime > state.matchedRoute->objective
             || (state.isStreaming && state.matchedRoute->maxGap.count() > 0
                 && ended.longestPause > state.matchedRoute->maxGap));
+    if (code == result_code::ok) {
+        recordAnswerTime(*state.matchedRoute, ended.totalTime);
+    }
     ended.configurationVersion = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
     m_bufferedBytes -= state.bufferedBytes;
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -510,3 +510,34 @@
         CHECK(find<send_answer>(actions) != nullptr);
     }
 }
+
+TEST_CASE("a request that comes too late before a planned stop is refused as not run", "[forward]")
+{
+    // Guards against requests that are passed on late in the grace period and cut at its end.
+    fixture f;
+    const auto attempt = startedIn(f.arrive(1, bookingPath));
+    f.advance(600ms);
+    REQUIRE(find<send_answer>(f.answer(attempt, 200, "booked")) != nullptr);
+    f.instance().stopBy(f.now() + 1000ms, f.now());
+    CHECK(find<start_attempt>(f.arrive(2, bookingPath)) != nullptr);
+    f.advance(500ms);
+    const auto late = f.arrive(3, bookingPath);
+    CHECK(find<start_attempt>(late) == nullptr);
+    const auto *refused = find<refuse_request>(late);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->details.code == result_code::entry_stopping);
+    CHECK_FALSE(refused->details.mayHaveRun);
+}
+
+TEST_CASE("a request that is running at the end of a planned stop gets an answer", "[forward]")
+{
+    // Guards against a connection that ends without an answer.
+    fixture f;
+    (void)startedIn(f.arrive(1, bookingPath));
+    f.instance().stopBy(f.now() + 400ms, f.now());
+    f.advance(400ms);
+    const auto ended = f.step(forward_tick {});
+    const auto *refused = find<refuse_request>(ended);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->details.mayHaveRun);
+}
