Spread the first requests of many fronts to a target that turns cold

Each front keeps a bucket of one token for its share of the rate, and all buckets were full when a target registered, so each of 99 fronts could send a request at once: up to 99 in the test, which fails on the code before (99 <= 26).

A bucket now starts at a random level with each cold phase, and full at about four of all fronts.

--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -228,6 +228,8 @@
         time_point lastProgress {};
         /** Token bucket for a cold target: each request takes one token. */
         double coldTokens = 1;
+        /** `directory_entry::coldUntil` of the cold phase to which `coldTokens` belongs. */
+        time_point coldPhaseEnd {};
         /** Time of the latest refill of `coldTokens`. */
         time_point coldTokensRefilledAt {};
     };
@@ -261,7 +263,7 @@
     /** Load per slot with penalties for failures and other data centres; lower is better. */
     [[nodiscard]] double score(const directory_entry &entry, const target_record &record, time_point now) const;
     /** Refills the token bucket with this node's share of the cold rate; true if it holds a token or none is needed. */
-    [[nodiscard]] bool refillColdTokens(const directory_entry &entry, target_record &record, time_point now) const;
+    [[nodiscard]] bool refillColdTokens(const directory_entry &entry, target_record &record, time_point now);
     /** Blocks the target for `base`, doubled for each further failure in a row up to a limit. */
     void block(target_record &record, duration base, time_point now) const;
 
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -46,6 +46,8 @@
 constexpr duration maxBackoffJitter = std::chrono::milliseconds(500);
 /** Score penalty of a target that fails every request, as a multiple of its slots: it scores like a full target. */
 constexpr double failurePenaltySlots = 1.0;
+/** Requests that all nodes together may send at once to a target that turns cold. */
+constexpr double coldBurst = 4;
 
 double secondsBetween(time_point from, time_point to)
 {
@@ -163,12 +165,19 @@
     return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots;
 }
 
-bool target_pool::refillColdTokens(const directory_entry &entry, target_record &record, time_point now) const
+bool target_pool::refillColdTokens(const directory_entry &entry, target_record &record, time_point now)
 {
     const auto *limits = m_routes ? m_routes->limitsOf(entry.latest.service) : nullptr;
     if (entry.coldUntil <= now || limits == nullptr || limits->coldPerSecond <= 0) {
         return true;
     }
+    if (entry.coldUntil != record.coldPhaseEnd) {
+        // Buckets that were all full would let each node send a request at the same moment.
+        const double level = std::uniform_real_distribution<double>(0, 1)(m_random);
+        record.coldTokens = level * m_nodes < coldBurst ? 1.0 : level;
+        record.coldTokensRefilledAt = now;
+        record.coldPhaseEnd = entry.coldUntil;
+    }
     const double rate = m_settings.limitShare * limits->coldPerSecond / m_nodes;
     record.coldTokens
         = std::min(1.0, record.coldTokens + rate * std::max(0.0, secondsBetween(record.coldTokensRefilledAt, now)));
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -541,3 +541,40 @@
     REQUIRE(refused != nullptr);
     CHECK(refused->details.mayHaveRun);
 }
+
+TEST_CASE("many nodes together keep to the rate of a target that turns cold", "[forward]")
+{
+    // Guards against a request of each node at the moment at which the target registers.
+    constexpr std::uint32_t nodes = 99;
+    constexpr double coldRate = 14;
+    time_point now { 10s };
+    target_directory directory;
+    route_table table = makeTable();
+    table.services = { { { "models" }, 1000, coldRate } };
+    const auto routes = std::make_shared<const route_index>(std::move(table));
+    std::vector<std::unique_ptr<target_pool>> pools;
+    for (std::uint32_t i = 0; i < nodes; ++i) {
+        pools.push_back(std::make_unique<target_pool>(pool_settings { .dataCentre = { "north" }, .seed = i + 1 }));
+        pools.back()->setDirectory(&directory);
+        pools.back()->setRoutes(routes);
+        pools.back()->setNodeCount(nodes);
+    }
+    for (int phase = 1; phase <= 3; ++phase) {
+        auto cold = makeRegistration("t3", "models");
+        cold.slots = 1000;
+        cold.coldLeftMs = 3000;
+        cold.order = { 1000, static_cast<std::uint64_t>(phase) };
+        directory.merge(cold, now);
+        int sent = 0;
+        for (const auto end = now + 1s; now < end; now += 10ms) {
+            for (const auto &pool : pools) {
+                if (const auto target = pool->choose({ "models" }, {}, {}, now); target) {
+                    pool->onStarted(target->latest.incarnation(), false);
+                    ++sent;
+                }
+            }
+        }
+        CHECK(sent <= coldRate * 1.5 + 5);
+        now += 20s;
+    }
+}
