--- a/test/crash-fleet.h
+++ b/test/crash-fleet.h
@@ -184,7 +184,7 @@
         time_point ends {};
         time_point nextEvent {};
         /** Empty if there is none. */
-        std::string deadlyPart;
+        std::string deadlyPart {};
         bool hasBegun = false;
         /** The target was down when the attempt began, so that nothing could be sent. */
         bool isUnsent = false;
