--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -97,6 +97,7 @@
 {
     m_routes = std::move(routes);
     m_pool.setRoutes(m_routes);
+    m_longestAnswers.clear();
 }
 
 void forwarder::setNodeCount(std::uint32_t nodes)
--- a/test/crash-fleet.h
+++ b/test/crash-fleet.h
@@ -91,6 +91,12 @@
         }
     }
 
+    /** Ends a target that has just been told to leave, with the requests that it still runs. */
+    void stopTarget(std::size_t index)
+    {
+        crash(index % m_targets.size(), {});
+    }
+
     /** Cuts the fronts from `first` on from all others, or joins them again. */
     void setCut(std::size_t first)
     {
