Test the operators' orders on quarantines with processes

It looked for every family of the operators' page at once; the age of a quarantine exists only while one is in force, so the new test looks for that one then.

--- a/test/platform-process-test.py
+++ b/test/platform-process-test.py
@@ -175,9 +175,9 @@
             raise AssertionError(f"{stopped}; logs are in {cls.folder}")
         shutil.rmtree(cls.folder)
 
-    def request(self, request, path):
+    def request(self, request, path, **headers):
         return call(FRONT, CALLERS, "POST", path, "x", {
-            "Host": "desk.example", "X-Figcleat-Attempt-Id": request, "X-Figcleat-Deadline-Ms": "3000"})
+            "Host": "desk.example", "X-Figcleat-Attempt-Id": request, "X-Figcleat-Deadline-Ms": "3000"} | headers)
 
     def explain(self, request):
         """What the command of the operators' page prints for a request."""
@@ -211,18 +211,39 @@
         self.assertIsNotNone(cause)
         self.assertGreaterEqual(int(cause.group(1)), 400)
 
+    def test_3_quarantine_by_an_operator(self):
+        prompt = {"X-Figcleat-Prefix-Hash": "5c1e07a2:800,e4402b7d:250"}
+        self.assertEqual(call(FRONT, METRICS, "PUT", "/quarantine/5c1e07a2")[0], 200)
+        status, headers, body = self.request("r-quarantined", "/late/1", **prompt)
+        self.assertEqual((status, json.loads(body)["error"]), (503, "prompt_quarantined"))
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertIn("cause: refused, no target ran it (prompt_quarantined", self.explain("r-quarantined"))
+        entry, = json.loads(call(FRONT, METRICS, "GET", "/quarantine")[2])
+        self.assertEqual((entry["parts"], entry["reason"], entry["rejected_here"]), ("5c1e07a2", "operator", 1))
+        # While a quarantine is in force, so that its family of metrics is there.
+        self.assertIn('figcleat_quarantine_age_seconds{parts="5c1e07a2",reason="operator"}', self.metrics(FRONT))
+        families = set(re.findall(r"# TYPE (\w+)", self.metrics(FRONT)))
+        self.assertEqual(set(re.findall(r"`(figcleat_quarantine[a-z_]+)`", PAGE)) - families, set())
+        self.assertEqual(call(FRONT, METRICS, "DELETE", "/quarantine/5c1e07a2")[0], 200)
+        self.assertEqual(call(FRONT, METRICS, "DELETE", "/quarantine/5c1e07a2")[0], 404)
+        self.assertEqual(call(FRONT, METRICS, "PUT", "/quarantine/%0a")[0], 400)
+        self.assertEqual(self.request("r-released", "/late/1", **prompt)[0], 200)
+        self.assertIn("event=quarantine state=released parts=5c1e07a2", (self.folder / "front.log").read_text())
+
     def test_4_metrics(self):
         page = self.metrics(FRONT)
         for line in (r'figcleat_requests_total\{code="203",name="no_target",late="false"\} 1',
-                     r'figcleat_requests_total\{code="0",name="ok",late="true"\} 1',
-                     r'figcleat_attempts_failed_total\{outcome="target_lost",next="end"\} 1',
-                     r"figcleat_request_seconds_count 1", r"figcleat_configuration_version 1", r"figcleat_targets 2"):
+                     r'figcleat_requests_total\{code="0",name="ok",late="true"\} 2',
+                     r'figcleat_attempts_failed_total\{outcome="target_lost",next="end",stage="no_answer"\} 1',
+                     r"figcleat_request_seconds_count 2", r"figcleat_configuration_version 1", r"figcleat_targets 2"):
             self.assertRegex(page, line)
         self.assertRegex(self.metrics(COORDINATOR), r"figcleat_log_leads 1")
         # Every family that the operators' page names exists, so that the page cannot differ from the program.
         self.wait_for("the agent controls its group",
                       lambda: "\nfigcleat_controls_group 1\n" in self.metrics(AGENT))
         families = set(re.findall(r"# TYPE (\w+)", page + self.metrics(COORDINATOR) + self.metrics(AGENT)))
+        # The age of a quarantine is there only while one is in force; its own test looks for it.
+        families.add("figcleat_quarantine_age_seconds")
         self.assertEqual(set(re.findall(r"`(figcleat_[a-z_]+)`", PAGE)) - families, set())
 
     def test_5_settings_change_without_a_signal(self):
