--- a/include/figcleat/forward/crash-evidence.h
+++ b/include/figcleat/forward/crash-evidence.h
@@ -56,7 +56,7 @@
     /** A group that was broken by one crash has refused or cut all its requests after this time. */
     static constexpr duration stallWindow = std::chrono::seconds(2);
     static constexpr duration reportLifetime = std::chrono::seconds(60);
-    /** A part without a sound request for this long counts as unknown. */
+    /** What other fronts tell about older sound requests is ignored. */
     static constexpr duration soundLifetime = std::chrono::seconds(120);
     /**
      * Crashes that convict a part that is not known to be sound, if they are at least half of all recent crashes. One
