--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,10 @@
-"""DRAIN: a server signs off, the node that acknowledged it is killed, and fronts go on sending to that server."""
+"""CONFIG: after one core machine was silent for 22 s, every front has lost every server for good."""
 import asyncio
+import collections
+import contextlib
 import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -9,83 +12,85 @@
 sys.dont_write_bytecode = True
 import stage as st  # noqa: E402
 
-DRAIN_S = 2.0
 STABLE_S = 3.0
-RESTART_S = 1.0
-# The server goes on for drain-ms and "at times many seconds".
-LINGER_S = 8.0
-REQUESTS = 20
+SILENT_S = 22.0
+APPLY_S = 2.0
+PERIOD_S = 0.1
+WATCHED_S = 30.0
 
 
-async def ask(stage, front, kind):
-    request = stage.next_id()
-    headers = st.client_headers(request)
-    stage.note(f"send {request} to {front}")
-    sent = time.monotonic()
-    try:
-        method = "POST" if kind == "book" else "GET"
-        status, _, body = await st.call((stage.ip(front), st.FRONT_PORT), method, f"/{kind}/1", headers,
-                                        b"x" if kind == "book" else b"", seconds=1.5)
-    except st.ERRORS as problem:
-        status, body = 0, str(problem).encode()
-    stage.note(f"answer {request} {status} {body!r:.60}")
-    return request, sent, status
+class Callers:
+    """Sends requests to the fronts in turn and counts what is answered on each route."""
 
+    def __init__(self, stage):
+        self.stage, self.sent = stage, []
 
-async def play(stage):
-    servers = [st.Server(stage, i, "returns-desk") for i in range(3)]
-    arrived = []
+    async def ask(self, path):
+        front = self.stage.fronts[len(self.sent) % len(self.stage.fronts)]
+        request, status = self.stage.next_id(), 0
+        entry = [path, time.monotonic(), 0]
+        self.sent.append(entry)
+        with contextlib.suppress(*st.ERRORS):
+            status, _, _ = await st.call((self.stage.ip(front), st.FRONT_PORT), "GET", path,
+                                         st.client_headers(request), b"", seconds=1.5)
+        entry[2] = status
+        self.stage.note(f"request {request} {path} at {front}: {status}")
 
-    def watch(server):
-        def on_run(request, method, path, headers, body):
-            arrived.append((server, request, time.monotonic()))
-            stage.note(f"run {request} {method} {path} at {server.id}")
-        server.on_run = on_run
+    async def press(self, path):
+        while True:
+            await self.ask(path)
+            await asyncio.sleep(PERIOD_S)
 
-    for server in servers:
-        watch(server)
-    await stage.open([st.service("returns-desk")], [st.route("r-look", "safe", "returns-desk", "/look/"),
-                                                    st.route("r-book", "unsafe", "returns-desk", "/book/")])
+    def served(self, path, start=0.0, end=float("inf")):
+        statuses = [status for one, at, status in self.sent if one == path and start <= at < end]
+        return statuses.count(200), len(statuses), dict(collections.Counter(statuses))
+
+
+async def play(stage):
+    servers = [st.Server(stage, i, "returns-desk") for i in range(3)]
+    await stage.open([st.service("returns-desk")], [st.route("r-look", "safe", "returns-desk", "/look/")])
     await asyncio.sleep(STABLE_S + 1)
-    for number in range(REQUESTS):
-        for front in stage.fronts:
-            _, _, status = await ask(stage, front, "look" if number % 2 else "book")
-            if status != 200:
-                raise st.CannotRun(f"a request in steady state got {status}")
-    # A server that leaves without a word before: DELETE first, then it serves on.
-    leaving = servers[0]
-    leaving.state, leaving.leaving = "gone", True
-    await asyncio.sleep(0.2)
-    name = stage.cores[int(leaving.id[-1], 16) % len(stage.cores)]
-    body = json.dumps({"born": leaving.born, "seq": leaving.seq + 1}).encode()
-    status, _, _ = await stage.control(name, "DELETE", f"/-/instances/{leaving.id}", body)
-    acknowledged = time.monotonic()
-    if status // 100 != 2:
-        raise st.CannotRun(f"DELETE got {status}")
+    callers = Callers(stage)
+    stage.tasks.append(asyncio.create_task(callers.press("/look/1")))
+    await asyncio.sleep(5)
+    # A core machine that does not lead, so that nothing else happens meanwhile.
+    victim = None
+    for name in stage.cores:
+        status, _, _ = await st.call((stage.ip(name), st.CONTROL_PORT), "GET", "/-/config", {}, b"", seconds=1)
+        victim = name if status == 307 else victim
+    if victim is None:
+        raise st.CannotRun("no core machine redirects")
+    struck = time.monotonic()
     if st.TROUBLE:
-        stage.kill(name)
-    stage.say(f"DELETE of {leaving.id} acknowledged with {status} by {name}")
+        stage.processes[victim].send_signal(signal.SIGSTOP)
+        stage.say(f"{victim} is silent")
+    await asyncio.sleep(SILENT_S)
     if st.TROUBLE:
-        await asyncio.sleep(RESTART_S)
-        stage.start(name)
-    # All machines are in touch again stable-window-ms after the restart.
-    await asyncio.sleep(acknowledged + RESTART_S + STABLE_S + 0.3 - time.monotonic())
-    if not all([await stage.ready(front) for front in stage.fronts]):
-        raise st.CannotRun("a front is not ready")
-    sent = {}
-    for number in range(REQUESTS):
-        for front in stage.fronts:
-            request, at, _ = await ask(stage, front, "look" if number % 2 else "book")
-            sent[request] = (front, at)
-    late = [(request, at) for server, request, at in arrived
-            if server is leaving and at > acknowledged + DRAIN_S and request in sent]
-    for request, at in late:
-        front, sent_at = sent[request]
-        stage.say(f"{request}, sent by {front}, reached {leaving.id} {at - acknowledged:.2f} s after the acknowledgement")
-    await asyncio.sleep(max(0, acknowledged + LINGER_S - time.monotonic()))
-    leaving.close()
-    stage.say(f"{leaving.id} ends; {len(sent)} requests sent, {len(late)} reached it later than drain-ms")
-    return st.BROKEN if late else st.HELD
+        stage.processes[victim].send_signal(signal.SIGCONT)
+        stage.say(f"{victim} goes on")
+    back = time.monotonic()
+    # All machines are in touch again; a route is added, as configurations do.
+    await asyncio.sleep(STABLE_S + 1)
+    stage.configuration["version"] = 12
+    stage.configuration["routes"].append(st.route("r-new", "safe", "returns-desk", "/new/"))
+    await stage.operator("PUT", "/-/config", json.dumps(stage.configuration).encode())
+    stage.say("configuration 12 with another route is acknowledged")
+    await asyncio.sleep(APPLY_S + 0.5)
+    added = time.monotonic()
+    stage.tasks.append(asyncio.create_task(callers.press("/new/1")))
+    await asyncio.sleep(back + WATCHED_S - time.monotonic())
+    first = callers.served("/look/1")
+    new = callers.served("/new/1")
+    stage.say(f"first route: before {callers.served('/look/1', 0, struck)}, while silent "
+              f"{callers.served('/look/1', struck, back)}, after {callers.served('/look/1', back + STABLE_S)}")
+    stage.say(f"added route: {new} (served, sent, statuses) over {time.monotonic() - added:.0f} s")
+    for server in servers:
+        status, _, _ = await st.call(server.address, "GET", "/healthz", {}, b"", seconds=1)
+        stage.say(f"{server.id} is {server.state}, its health check gives {status}, {server.seq} registrations sent")
+    stage.say("ready: " + ", ".join([name for name in stage.fronts if await stage.ready(name)]))
+    if new[1] < 20:
+        raise st.CannotRun("too few requests on the added route")
+    return st.BROKEN if new[0] / new[1] < first[0] / first[1] / 4 else st.HELD
 
 
-st.run(__file__, play, fronts=8)
+st.run(__file__, play, fronts=3)
