--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""LOST: a prompt part that crashes servers is never quarantined if streams end with their connection."""
+"""BUDGET: a prompt part that crashes servers is never quarantined if streams end with their connection."""
 import asyncio
 import contextlib
 import pathlib
@@ -14,10 +14,11 @@
 STABLE_S = 3.0
 # "the server is back after some seconds"
 BACK_S = 5.0
-SOUND_PERIOD_S = 0.12
-BAD_PERIOD_S = 0.3
-CALM_S = 12.0
-BAD_S = 40.0
+# One request in twenty has the part, for 22 s, as on the day that the users gave for this.
+SOUND_PERIOD_S = 0.025
+BAD_PERIOD_S = 0.5
+CALM_S = 8.0
+BAD_S = 22.0
 FIRST_PART, BAD_PART = "5c1e07a2", "deadbeef"
 SERVICE = "assistant-models"
 
@@ -86,10 +87,7 @@
     stage.say(f"{len(late)} sent later than stable-window-ms after the fifth crash reached servers")
     stage.say(f"sound requests that begin: {begun(calm):.2f} of {len(calm)} before, {begun(after):.2f} of {len(after)} "
               f"from 2 x stable-window-ms after the fifth crash; {len(cut)} of these ended early")
-    stage.say(f"BUDGET is {'broken' if len(late) > 3 else 'kept'}")
-    if min(len(calm), len(after)) < 20:
-        raise st.CannotRun("too few sound requests")
-    return st.BROKEN if begun(after) < begun(calm) / 2 else st.HELD
+    return st.BROKEN if len(late) > 3 else st.HELD
 
 
 st.run(__file__, play)
