--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,8 @@
 #!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-exec timeout -k 2 118 python3 case.py
+python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' || exit 2
+timeout -k 5 114 python3 -B case.py
+status=$?
+[ "$status" -le 2 ] || exit 2
+exit "$status"
--- a/review/stage.py
+++ b/review/stage.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -258,10 +259,16 @@
         return f"{self.number:08x}{random.getrandbits(32):08x}"
 
 
+def stop_early(*_):
+    raise CannotRun("stopped by a signal")
+
+
 def run(case, play, **size):
     """Plays a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     stage = None
     result = NOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop_early)
     try:
         stage = Stage(case, **size)
         stage.say(f"TROUBLE={1 if TROUBLE else 0}")
@@ -271,6 +278,9 @@
         print(f"cannot run: {problem}", flush=True)
         if stage:
             stage.note(f"cannot run: {problem}")
+    except Exception:
+        # A mistake of the case, not of what it tests.
+        traceback.print_exc()
     finally:
         if stage:
             stage.stop_all()
