Never end a target on the word of another writer

Cause: the directory marked the target with the earlier start at an address as gone, and gone is final for a start.

Ruled out: requests sent to the foreign ids (their service is routed nowhere); a table by address that they replace.

Change: a claim is an observation. Targets that share an address are used while they go on registering; the one that falls behind by 3 s is superseded until its next registration. A new claim against a target of the same or a later start has to be renewed for 3 s. Under one id a higher start or sequence that is not renewed gives way. A front leaves a target out for 5 s whose address answers for another one (421). Tables are bounded by use; targets that register are never crowded out.

--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -28,6 +28,8 @@
     answered,
     /** The target refused the request without running it. */
     shed,
+    /** Another target answered at the target's address, without running the request. */
+    misdirected,
     /** The connection could not be established. */
     unreachable,
     /** The connection broke, the answer was corrupt, or the target was silent too long or reported its own error. */
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -119,7 +119,7 @@
     page.gauge("figcleat_targets", "Registrations that are known.", {},
                static_cast<double>(m_directory.entries().size()));
     page.counter("figcleat_registrations_refused_total",
-                 "Registrations refused because another target of the same start has their address.", {},
+                 "Registrations refused because another target that goes on registering has their address.", {},
                  m_directory.refusedClaims());
     page.gauge("figcleat_subscribers", "Nodes that poll this coordinator.", {},
                static_cast<double>(m_subscribers.size()));
@@ -540,7 +540,7 @@
     m_links.onUpdate(received.from, received.incarnation, update, now);
     bool isNews = false;
     for (const auto &one : update.changes) {
-        isNews = merge(one, now) || isNews;
+        isNews = m_directory.adopt(one, now) || isNews;
     }
     if (isNews) {
         publishSoon();
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -376,7 +376,7 @@
     const time_point now = m_time->now();
     m_links.onUpdate(received.from, received.incarnation, update, now);
     for (const auto &one : update.changes) {
-        if (m_directory.merge(one, now)) {
+        if (m_directory.adopt(one, now)) {
             logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{} from={}",
                            one.target.value, one.service.value, one.address, static_cast<int>(one.state),
                            one.coldLeftMs, one.order.startedMs, one.order.sequence, received.from.value);
@@ -426,6 +426,7 @@
 void front_node::poll()
 {
     const time_point now = m_time->now();
+    m_directory.settle(now);
     pollCoordinators(m_revision);
     knowFronts();
     for (const auto &one : m_forwarder.loadSummary(now)) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -668,7 +668,9 @@
     }
     if (event.head.notRun) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
-        endAttempt(state, attempt_result::shed);
+        // A fault of another member of the group says nothing about the address.
+        const bool isMisdirected = event.head.isOtherTarget && event.head.targetAtFault.value.empty();
+        endAttempt(state, isMisdirected ? attempt_result::misdirected : attempt_result::shed);
         retryOrFail(exchange, state, false,
                     event.head.isOtherTarget ? result_code::target_lost : result_code::target_at_limit);
         return;
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -25,6 +25,8 @@
 /** Groups recover within seconds of a repair; a longer block would keep healthy targets idle. */
 constexpr duration maxBlock = std::chrono::seconds(1);
 constexpr std::uint32_t maxBlockDoublings = 2;
+/** Another target answers at the address, which ends only with a new registration. */
+constexpr duration misdirectedBlock = std::chrono::seconds(5);
 /** Requests by which a target in another data centre must be less loaded to be preferred. */
 constexpr double remotePenalty = 0.5;
 /**
@@ -105,7 +107,7 @@
 
 bool target_pool::isOpen(const directory_entry &entry) const
 {
-    if (entry.latest.state != registration_state::ready || m_evacuated.contains(entry.latest.dataCentre)) {
+    if (!entry.isUsable() || m_evacuated.contains(entry.latest.dataCentre)) {
         return false;
     }
     const auto record = m_records.find(entry.latest.target);
@@ -337,6 +339,9 @@
         record.failuresInRow = std::max(record.failuresInRow + 1, failuresToBlock);
         block(record, unreachableBlockBase, now);
         break;
+    case attempt_result::misdirected:
+        record.blockedUntil = std::max(record.blockedUntil, now + misdirectedBlock);
+        break;
     case attempt_result::shed:
     case attempt_result::failed:
         record.failuresInRow += 1;
