Do not take the silence of this process for that of targets

Cause: `expire` counted the time in which the process itself heard nothing, and told silence as the sign-off of the target.

Ruled out: an old table in the coordinator's answers; fronts that lose the coordinators.

Change: silence belongs to one registration and ends with the next one. A coordinator measures it only while it runs and knows a leader. Registrations are taken without a quorum. Metrics, `GET /targets` and `event=target_unused` tell why a target is out, since when and on whose word.

Evidence: membership-process-test found a report of silence that never applied at fronts, since the answers to their own queries repeated it; target-directory-test has the case.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -35,6 +35,8 @@
         /** What the node has, as it said or as it was sent since. */
         std::uint64_t directoryVersion = 0;
         std::uint64_t contactsChecksum = 0;
+        /** Targets of which the node wants the current registration with the next update. */
+        std::vector<target_id> doubted;
         forward::configuration_feed configuration;
     };
 
@@ -65,14 +67,16 @@
     [[nodiscard]] peer_address leader() const;
     /** The settings name the data centre. */
     [[nodiscard]] bool isKnown(const data_centre_id &dataCentre) const;
-    /** False while this coordinator can reach no other one; what it acknowledged might reach nobody. */
-    [[nodiscard]] bool isConnected() const;
+    /** Excludes time in which this process was suspended or cut off from the observed silence of targets. */
+    void checkListening();
+    void logUnusedTargets();
 
     void receive(const envelope &received) override;
     /** Some of the messages that wait, so that those of the log and calls get their turn between them. */
     void handleWaiting();
     void handle(const envelope &received);
     void writeMetrics(report::metrics_text &page) const override;
+    [[nodiscard]] std::optional<forward::http_answer> answerOperator(const http_request &request) override;
     void onPoll(const envelope &received, const forward::node_poll &poll);
     void onUpdate(const envelope &received, const forward::node_update &update);
     void onRenewal(const envelope &received, const forward::control_renewal &renewal);
@@ -82,7 +86,7 @@
     [[nodiscard]] bool knowsEngines() const;
     /** Collects the contacts that updates name, once for all of them. */
     void collectContacts();
-    /** Tells the log of a registration that is refused for its address. */
+    /** Writes a log line for a registration that is refused for its address. */
     bool merge(const forward::registration &what, time_point now);
     /** Takes the models of the services with groups from the configuration, which takes long to read. */
     void readModels();
@@ -105,6 +109,7 @@
     event *m_publicationDue = nullptr;
     bool m_isPublicationScheduled = false;
     std::map<exchange_id, http_request> m_open;
+    time_point m_lastPollAt {};
     group::control_leases m_leases;
     /** Engines that are slow or whose group is broken, as the controllers of the groups say. */
     std::map<group_id, std::vector<forward::engine_condition>> m_engines;
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -49,6 +49,8 @@
     void poll();
     void tick();
     /** Tells other fronts what this one has at targets, as far as that is due. */
+    /** Applies the reports of coordinators that targets are silent, unless other coordinators hear them. */
+    void settleTargets();
     void shareLoad();
     /** Tells other fronts what this one knows of prompts that crash targets, as far as that is due. */
     void shareQuarantine();
@@ -90,6 +92,7 @@
     std::map<attempt_number, open_attempt> m_attempts;
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
+    time_point m_lastPollAt {};
     forward::load_exchange m_loads;
     front_metrics m_counts;
     time_point m_quarantineSharedAt {};
--- a/include/figcleat/daemon/node-base.h
+++ b/include/figcleat/daemon/node-base.h
@@ -47,7 +47,8 @@
     [[nodiscard]] expected<void> openMetrics();
     [[nodiscard]] time_point now() const;
     /** Sends the poll to each coordinator that is known, filled in for it. */
-    void pollCoordinators(revision_number revision, const std::vector<group::group_membership> &seat = {});
+    void pollCoordinators(revision_number revision, const std::vector<group::group_membership> &seat = {},
+                          const std::vector<target_id> &doubted = {});
 
     virtual void receive(const envelope &received) = 0;
     virtual void writeMetrics(report::metrics_text &page) const = 0;
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -59,8 +59,10 @@
     /** For agents: group membership of the engine's rank; empty if the engine belongs to no group, and for other nodes.
      */
     std::vector<group::group_membership> seat;
+    /** Targets that another coordinator reported as absent; the update names their registrations. */
+    std::vector<target_id> doubted;
 
-    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision, seat)
+    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision, seat, doubted)
 };
 
 /** Condition of a model engine that is slow or whose group is broken. */
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -3,6 +3,7 @@
 #include "figcleat/core/digest.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
+#include "figcleat/daemon/target-status.h"
 #include "figcleat/wire/codec.h"
 
 #include <algorithm>
@@ -19,10 +20,10 @@
 constexpr duration pollPeriod = std::chrono::milliseconds(300);
 /** A node that has not polled for this long is not counted. */
 constexpr duration subscriberSilence = std::chrono::seconds(3);
-/** Without word of any other coordinator for this long, this one is taken to be cut off. */
-constexpr duration isolationSilence = std::chrono::milliseconds(1200);
-/** After its start, time in which a coordinator finds the others. */
-constexpr duration startPeriod = std::chrono::seconds(2);
+/** A leader named by another coordinator is believed for this long. */
+constexpr duration leaderHintPeriod = std::chrono::milliseconds(1200);
+/** After a longer pause between polls this process may have been suspended and may have missed registrations. */
+constexpr duration listeningPause = std::chrono::seconds(1);
 constexpr std::size_t maxSubscribers = 4096;
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
@@ -51,7 +52,9 @@
 
 coordinator_node::coordinator_node(node_context context)
     : node_base(std::move(context))
+    , m_directory(m_self.value)
 {
+    m_directory.resumeListening(m_startedAt);
 }
 
 expected<void> coordinator_node::openLog()
@@ -116,8 +119,7 @@
                static_cast<double>(held.number));
     page.gauge("figcleat_configuration_revision", "Revision of the agreed state.", {},
                static_cast<double>(held.revision.value));
-    page.gauge("figcleat_targets", "Registrations that are known.", {},
-               static_cast<double>(m_directory.entries().size()));
+    writeTargets(page, m_directory);
     page.counter("figcleat_registrations_refused_total",
                  "Registrations refused because another target that goes on registering has their address.", {},
                  m_directory.refusedClaims());
@@ -141,6 +143,11 @@
     }
 }
 
+std::optional<forward::http_answer> coordinator_node::answerOperator(const http_request &request)
+{
+    return answerTargetStatus(request, m_directory, now());
+}
+
 void coordinator_node::drain()
 {
     logger()->info("event=stop calls={}", m_open.size());
@@ -189,18 +196,8 @@
     return std::find(known.begin(), known.end(), dataCentre) != known.end();
 }
 
-bool coordinator_node::isConnected() const
-{
-    const time_point now = m_time->now();
-    return m_links.links().empty() || m_links.heardWithin(isolationSilence, now) > 0 || now - m_startedAt < startPeriod;
-}
-
 void coordinator_node::carryOut(exchange_id exchange, const forward::register_target &call)
 {
-    if (!isConnected()) {
-        answer(exchange, { .code = result_code::agreement_unavailable, .detail = "no other coordinator is heard" });
-        return;
-    }
     const auto &what = call.what;
     if (!isKnown(what.dataCentre)) {
         logger()->warn("event=registration_refused reason=unknown_data_centre target={} data_centre={}",
@@ -212,6 +209,7 @@
         logger()->info("event=target target={} service={} address={} state={} cold_ms={} order={}.{}",
                        what.target.value, what.service.value, what.address, static_cast<int>(what.state),
                        what.coldLeftMs, what.order.startedMs, what.order.sequence);
+        logUnusedTargets();
         publishSoon();
     }
     answer(exchange, {});
@@ -230,24 +228,26 @@
 
 void coordinator_node::carryOut(exchange_id exchange, const forward::deregister_target &call)
 {
-    if (!isConnected()) {
-        answer(exchange, { .code = result_code::agreement_unavailable, .detail = "no other coordinator is heard" });
-        return;
-    }
     if (m_directory.leave(call.target, call.startedMs, m_time->now())) {
         logger()->info("event=target target={} state=gone started={}", call.target.value, call.startedMs);
+        logUnusedTargets();
         publishSoon();
     }
     answer(exchange, {});
 }
 
+void coordinator_node::logUnusedTargets()
+{
+    logUnused(m_directory, *logger(), now());
+}
+
 peer_address coordinator_node::leader() const
 {
     const auto known = m_control->status().leader;
     if (known) {
         return *known;
     }
-    return m_links.leader(isolationSilence, m_time->now());
+    return m_links.leader(leaderHintPeriod, m_time->now());
 }
 
 bool coordinator_node::redirect(exchange_id exchange)
@@ -382,6 +382,7 @@
     who.heard = m_time->now();
     who.directoryVersion = isSameLife ? poll.directoryVersion : 0;
     who.contactsChecksum = isSameLife ? poll.contactsChecksum : 0;
+    who.doubted = poll.doubted;
     who.configuration.onPoll(poll.revision, m_control->state().configuration().revision, who.heard);
     if (isNew) {
         collectContacts();
@@ -457,6 +458,8 @@
     message.since = who.directoryVersion;
     if (who.role != forward::node_role::agent) {
         message.changes = m_directory.changesAfter(who.directoryVersion, filter, m_time->now());
+        const auto asked = m_directory.registrationsOf(std::exchange(who.doubted, {}), m_time->now());
+        message.changes.insert(message.changes.end(), asked.begin(), asked.end());
     }
     const auto &held = m_control->state().configuration();
     const bool isNear = who.dataCentre == m_settings.dataCentre;
@@ -543,6 +546,7 @@
         isNews = m_directory.adopt(one, now) || isNews;
     }
     if (isNews) {
+        logUnusedTargets();
         publishSoon();
     }
 }
@@ -554,11 +558,12 @@
                   [now](const auto &entry) { return now - entry.second.heard >= coordinator_links::forgetAfter; });
     m_control->learnContacts(m_links.addresses());
     collectContacts();
-    pollCoordinators(m_control->state().configuration().revision);
+    checkListening();
     if (m_directory.expire(now)) {
-        logger()->warn("event=target_expired targets={}", m_directory.entries().size());
+        logUnusedTargets();
         publishSoon();
     }
+    pollCoordinators(m_control->state().configuration().revision, {}, m_directory.doubted());
     const bool hasLeader = m_control->status().leader.has_value();
     if (hasLeader != m_hasLeader) {
         m_hasLeader = hasLeader;
@@ -567,6 +572,14 @@
     }
 }
 
+void coordinator_node::checkListening()
+{
+    const time_point last = std::exchange(m_lastPollAt, m_time->now());
+    if (m_lastPollAt - last >= listeningPause || !m_control->status().leader) {
+        m_directory.resumeListening(m_lastPollAt);
+    }
+}
+
 void coordinator_node::measureDelay()
 {
     const time_point now = m_time->now();
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -3,6 +3,7 @@
 #include "figcleat/core/digest.h"
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
+#include "figcleat/daemon/target-status.h"
 
 #include <algorithm>
 #include <cctype>
@@ -17,6 +18,8 @@
 
 /** A lost update is made good after this time; a third of the time within which a drain has to be in force. */
 constexpr duration pollPeriod = std::chrono::milliseconds(400);
+/** After a longer pause between polls this process may have been suspended and may have missed updates. */
+constexpr duration listeningPause = std::chrono::seconds(1);
 /** Deadlines are kept to this precision; each wake-up costs processor time. */
 constexpr duration tickPeriod = std::chrono::milliseconds(25);
 /** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
@@ -194,6 +197,7 @@
 
 front_node::front_node(node_context context)
     : node_base(std::move(context))
+    , m_directory(m_self.value)
     , m_forwarder(forwarderSettings(m_settings, m_random, m_self, m_incarnation))
     , m_clients(m_loop, callSettings, *this)
     , m_probes(m_loop->base())
@@ -278,14 +282,13 @@
     writeQuarantine(page, m_forwarder.quarantine(), now());
     page.gauge("figcleat_configuration_version", "Version of the configuration in force.", {},
                static_cast<double>(m_version));
-    page.gauge("figcleat_targets", "Registrations that are known.", {},
-               static_cast<double>(m_directory.entries().size()));
+    writeTargets(page, m_directory);
 }
 
 std::optional<forward::http_answer> front_node::answerOperator(const http_request &request)
 {
     if (!std::string_view(request.path).starts_with(quarantinePath)) {
-        return std::nullopt;
+        return answerTargetStatus(request, m_directory, now());
     }
     return answerQuarantine(request);
 }
@@ -382,6 +385,7 @@
                            one.coldLeftMs, one.order.startedMs, one.order.sequence, received.from.value);
         }
     }
+    logUnused(m_directory, *logger(), now);
     for (const auto &one : update.configuration) {
         apply(one);
     }
@@ -426,8 +430,8 @@
 void front_node::poll()
 {
     const time_point now = m_time->now();
-    m_directory.settle(now);
-    pollCoordinators(m_revision);
+    settleTargets();
+    pollCoordinators(m_revision, {}, m_directory.doubted());
     knowFronts();
     for (const auto &one : m_forwarder.loadSummary(now)) {
         if (one.requestLimit == 0) {
@@ -447,6 +451,18 @@
     }
 }
 
+void front_node::settleTargets()
+{
+    const time_point last = std::exchange(m_lastPollAt, now());
+    if (m_lastPollAt - last >= listeningPause) {
+        m_directory.resumeListening(m_lastPollAt);
+    }
+    if (m_directory.settle(m_lastPollAt)) {
+        logUnused(m_directory, *logger(), m_lastPollAt);
+        step(forward::forward_tick {});
+    }
+}
+
 void front_node::shareLoad()
 {
     for (auto &message : m_loads.takeDueMessages(m_forwarder.pool().ownLoads(), now())) {
--- a/src/daemon/node-base.cc
+++ b/src/daemon/node-base.cc
@@ -55,13 +55,14 @@
     logFor(part::settings)->info("event=reload seeds={}", settings.seeds.size());
 }
 
-void node_base::pollCoordinators(revision_number revision, const std::vector<group::group_membership> &seat)
+void node_base::pollCoordinators(revision_number revision, const std::vector<group::group_membership> &seat,
+                                 const std::vector<target_id> &doubted)
 {
     m_links.forgetSilent(now());
     for (const auto &[address, link] : m_links.links()) {
         m_messenger->send(address,
                           forward::node_poll { m_settings.vm, m_settings.dataCentre, m_settings.role, link.incarnation,
-                                               link.directoryVersion, link.contactsChecksum, revision, seat });
+                                               link.directoryVersion, link.contactsChecksum, revision, seat, doubted });
     }
 }
 
