Count silence of targets at entries only while they run

What callers would see: an entry of figcleatd that is suspended for 1.5 s gives up the work of all targets when it goes on; a target whose id another process announced once is never used again.

Change: the pipeline tells the table when its ticks paused for 500 ms; a former incarnation that goes on announcing itself replaces one that is silent.

Evidence: the two new cases of placement-test; found by reading, not seen in a run of processes.

--- a/include/figcleat/placement/table.h
+++ b/include/figcleat/placement/table.h
@@ -104,6 +104,8 @@
     std::optional<lost_target> heard(const announce &report, const peer_address &from, time_point now);
     void heardEntry(const peer_address &from, const data_centre_id &dataCentre, time_point now);
     void setDataCentresOut(std::set<data_centre_id> out);
+    /** This process heard nothing until `now`, so silence is measured from here on. */
+    void resumeListening(time_point now);
     /** Targets that have become silent since the last call; forgets those that were silent for long. */
     std::vector<lost_target> expire(time_point now);
 
@@ -128,6 +130,8 @@
     };
     using target_map = std::map<target_id, known_target>;
 
+    /** Time in which this process ran and did not hear the target. */
+    [[nodiscard]] duration silenceOf(const known_target &known, time_point now) const;
     [[nodiscard]] bool isUsable(const known_target &known, time_point now) const;
     [[nodiscard]] std::optional<candidate> candidateFrom(const known_target &known, time_point now) const;
     [[nodiscard]] bool takeGroupInto(candidate &result, const known_target &first, time_point now) const;
@@ -138,6 +142,7 @@
     void leaveGroup(const announce &report);
 
     table_settings m_settings;
+    time_point m_listeningSince {};
     target_map m_targets;
     std::map<std::pair<service_id, group_id>, std::set<target_id>> m_groups;
     std::map<target_id, std::deque<incarnation_id>> m_former;
--- a/include/figcleat/request/pipeline.h
+++ b/include/figcleat/request/pipeline.h
@@ -24,6 +24,8 @@
 inline constexpr duration usageFlushTimeout = std::chrono::seconds(5);
 inline constexpr duration resolveTimeout = std::chrono::seconds(1);
 /** An attempt without progress for this long is asked about; a dispatch or an answer may have been lost. */
+/** After a longer pause between ticks this process may have been suspended and may have missed announcements. */
+inline constexpr duration suspendedPause = std::chrono::milliseconds(500);
 inline constexpr duration progressTimeout = std::chrono::seconds(2);
 /** After a refusal at a target's limit an entry takes only its share of reported room for this long. */
 inline constexpr duration sharingPeriod = std::chrono::seconds(2);
@@ -213,6 +215,7 @@
     /** Until when a stopping entry tries to record its last use. */
     std::optional<time_point> m_flushDeadline;
     time_point m_now;
+    time_point m_lastTick {};
     std::vector<pipeline_action> m_actions;
 };
 
--- a/src/placement/table.cc
+++ b/src/placement/table.cc
@@ -61,13 +61,16 @@
     }
     auto &known = found->second;
     const bool same = known.report.incarnation == report.incarnation;
-    if (same ? report.sequence <= known.report.sequence : isFormerIncarnation(report)) {
+    // A process with the same settings may have announced itself under this id; the one that goes on is used.
+    const bool isOutdated = isFormerIncarnation(report) && silenceOf(known, now) < m_settings.silentAfter;
+    if (same ? report.sequence <= known.report.sequence : isOutdated) {
         return std::nullopt;
     }
     std::optional<lost_target> lost;
     if (!same) {
         lost = lost_target { report.target, known.report.incarnation };
         auto &former = m_former[report.target];
+        std::erase(former, report.incarnation);
         former.push_back(known.report.incarnation);
         if (former.size() > maxFormer) {
             former.pop_front();
@@ -92,13 +95,23 @@
     m_out = std::move(out);
 }
 
+void table::resumeListening(time_point now)
+{
+    m_listeningSince = now;
+}
+
+duration table::silenceOf(const known_target &known, time_point now) const
+{
+    return now - std::max(known.heardAt, m_listeningSince);
+}
+
 std::vector<lost_target> table::expire(time_point now)
 {
     std::vector<lost_target> lost;
     for (auto found = m_targets.begin(); found != m_targets.end();) {
         const auto current = found++;
         auto &known = current->second;
-        const auto age = now - known.heardAt;
+        const auto age = silenceOf(known, now);
         if (!known.silent && age >= m_settings.silentAfter) {
             known.silent = true;
             lost.push_back({ current->first, known.report.incarnation });
@@ -171,7 +184,7 @@
 bool table::isUsable(const known_target &known, time_point now) const
 {
     return known.report.state != target_state::leaving && !m_out.contains(known.report.dataCentre)
-        && now - known.heardAt < m_settings.silentAfter;
+        && silenceOf(known, now) < m_settings.silentAfter;
 }
 
 std::optional<candidate> table::candidateFrom(const known_target &known, time_point now) const
--- a/src/request/pipeline.cc
+++ b/src/request/pipeline.cc
@@ -5,6 +5,7 @@
 #include "figcleat/request/replies.h"
 
 #include <fmt/format.h>
+#include <utility>
 
 namespace figcleat::request
 {
@@ -123,6 +124,9 @@
 
 void pipeline::on(const tick & /*event*/)
 {
+    if (m_now - std::exchange(m_lastTick, m_now) >= suspendedPause) {
+        m_targets.resumeListening(m_now);
+    }
     for (const auto &lost : m_targets.expire(m_now)) {
         onTargetLost(lost);
     }
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -98,6 +98,39 @@
     CHECK(f.chooseOnce() == "no_target");
 }
 
+// Guards against an entry that takes its own suspension for the loss of all targets.
+TEST_CASE("silence while this process was suspended is not counted", "[placement]")
+{
+    fixture f;
+    f.hear(report("a", 5));
+    f.now += 10s;
+    f.subject.resumeListening(f.now);
+    CHECK(f.subject.expire(f.now).empty());
+    CHECK(f.chooseOnce() == "a");
+    f.now += 1500ms;
+    CHECK(f.subject.expire(f.now).size() == 1);
+    CHECK(f.chooseOnce() == "no_target");
+    f.hear(report("a", 5));
+    CHECK(f.chooseOnce() == "a");
+}
+
+// Guards against a target that is never used again after another process announced itself under its id.
+TEST_CASE("of two processes under one id the one that goes on is used", "[placement]")
+{
+    fixture f;
+    f.hear(report("a", 5));
+    auto other = report("a", 3);
+    other.incarnation = { 2 };
+    f.hear(other);
+    f.now += 1s;
+    f.hear(report("a", 5));
+    CHECK(f.subject.find({ "a" })->report.incarnation == incarnation_id { 2 });
+    f.now += 600ms;
+    f.hear(report("a", 5));
+    CHECK(f.subject.find({ "a" })->report.incarnation == incarnation_id { 1 });
+    CHECK(f.chooseOnce() == "a");
+}
+
 // Guards against an old announcement that hides a restart, and against counts of a former life.
 TEST_CASE("a new incarnation replaces the former one", "[placement]")
 {
