Acknowledge sign-offs when the log holds them

Cause: the sign-off was in the memory of one process, which told others 10 ms after its answer.

Ruled out: a notice that was lost on its way (none was sent); a restarted coordinator that overrules others (nobody knew).

Change: `draining` and `DELETE` are answered when the replicated log has recorded the start of the target that signed off. Coordinators pass the command on to the leader; fronts still learn of it after 10 ms. Without a decision within 0.9 s the call gets 503.

--- a/bench/agreed-bench.cc
+++ b/bench/agreed-bench.cc
@@ -16,8 +16,9 @@
 
 using bench::arguments;
 
-constexpr std::array commandNames { "submit_configuration", "set_data_centre", "claim_key",    "settle_claim",
-                                    "release_claim",        "issue_fence",     "record_usage", "expire_claims" };
+constexpr std::array commandNames { "submit_configuration", "set_data_centre", "claim_key",
+                                    "settle_claim",         "release_claim",   "issue_fence",
+                                    "record_usage",         "expire_claims",   "record_sign_off" };
 static_assert(commandNames.size() == std::variant_size_v<command>);
 
 struct counts
@@ -44,7 +45,10 @@
 
     command next()
     {
-        const std::uint64_t kind = below(16);
+        const std::uint64_t kind = below(17);
+        if (kind == 16) {
+            return record_sign_off { { "target-" + std::to_string(below(600)) }, static_cast<std::int64_t>(below(4)) };
+        }
         if (kind >= 12) {
             return claim();
         }
--- a/include/figcleat/agreed/commands.h
+++ b/include/figcleat/agreed/commands.h
@@ -113,8 +113,18 @@
     MSGPACK_DEFINE(nowMs)
 };
 
+/** A target has said that it leaves, or has left; final for this start of the target. */
+struct record_sign_off
+{
+    target_id target {};
+    /** Start time of the target in Unix milliseconds; 0 if unknown. */
+    std::int64_t startedMs = 0;
+
+    MSGPACK_DEFINE(target, startedMs)
+};
+
 using command = std::variant<submit_configuration, set_data_centre, claim_key, settle_claim, release_claim, issue_fence,
-                             record_usage, expire_claims>;
+                             record_usage, expire_claims, record_sign_off>;
 
 /** What became of a claim; also the answer to a claim that another attempt holds. */
 enum class claim_status : std::uint8_t {
--- a/include/figcleat/agreed/state.h
+++ b/include/figcleat/agreed/state.h
@@ -4,6 +4,7 @@
 #include "figcleat/agreed/commands.h"
 #include "figcleat/agreed/configurations.h"
 #include "figcleat/agreed/fence-table.h"
+#include "figcleat/agreed/sign-off-table.h"
 #include "figcleat/agreed/usage-ledger.h"
 
 namespace figcleat::agreed
@@ -39,6 +40,7 @@
     [[nodiscard]] std::size_t answerBytes() const;
     [[nodiscard]] std::optional<fence_holder> fence(const std::string &subject) const;
     [[nodiscard]] std::vector<usage_row> usageTotals() const;
+    [[nodiscard]] const sign_off_table &signOffs() const;
 
 private:
     [[nodiscard]] outcome run(const submit_configuration &what);
@@ -49,6 +51,7 @@
     [[nodiscard]] outcome run(const issue_fence &what);
     [[nodiscard]] outcome run(const record_usage &what);
     [[nodiscard]] outcome run(const expire_claims &what);
+    [[nodiscard]] outcome run(const record_sign_off &what);
     /** The index of the command at hand as a fence. */
     [[nodiscard]] fence_number newFence();
     void advanceTime(std::int64_t nowMs);
@@ -60,6 +63,7 @@
     claim_table m_claims;
     fence_table m_fences;
     usage_ledger m_usage;
+    sign_off_table m_signOffs;
 };
 
 } // namespace figcleat::agreed
--- a/include/figcleat/daemon/control-node.h
+++ b/include/figcleat/daemon/control-node.h
@@ -26,6 +26,7 @@
 public:
     using send_function = std::function<void(const peer_address &, const consensus::raft_message &)>;
     using commit_function = std::function<void(const agreed::configuration_in_force &)>;
+    using sign_off_function = std::function<void(const agreed::record_sign_off &)>;
     using answer_function = std::function<void(result_code, const agreed::outcome &)>;
     using read_function = std::function<void(result_code)>;
 
@@ -35,6 +36,8 @@
         const clock *time = nullptr;
         send_function send;
         commit_function onCommitted;
+        /** Called for each sign-off in the agreed state, also for those that it held when it was opened. */
+        sign_off_function onSignedOff {};
     };
 
     /** Opens the data folder; the error of the log store otherwise. */
@@ -73,6 +76,7 @@
     void carryOut(const consensus::install_snapshot &action);
     void carryOut(const consensus::halted &action);
     void announceIfChanged();
+    void announceSignOffs();
     [[nodiscard]] std::uint64_t add(answer_function answer);
 
     parts m_parts;
--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -3,6 +3,7 @@
 #include "figcleat/daemon/control-node.h"
 #include "figcleat/daemon/coordinator-inbox.h"
 #include "figcleat/daemon/node-base.h"
+#include "figcleat/daemon/proposer.h"
 #include "figcleat/forward/configuration-feed.h"
 #include "figcleat/group/control-leases.h"
 #include "figcleat/http/server.h"
@@ -47,6 +48,13 @@
         std::uint64_t checksum = 0;
     };
 
+    /** A call that is answered when the log has decided, or with an error at the deadline. */
+    struct sign_off_call
+    {
+        exchange_id exchange;
+        time_point deadline;
+    };
+
     [[nodiscard]] expected<void> openLog();
 
     // http_handler
@@ -67,6 +75,16 @@
     [[nodiscard]] peer_address leader() const;
     /** The settings name the data centre. */
     [[nodiscard]] bool isKnown(const data_centre_id &dataCentre) const;
+    /**
+     * Answers once the log holds that this start of the target signed off, so that the loss of this process cannot undo
+     * it; `agreement_unavailable` if the log cannot decide.
+     */
+    void signOff(exchange_id exchange, const target_id &target, std::int64_t startedMs);
+    /** Passes the proposals of other coordinators and the answers to own ones on. */
+    [[nodiscard]] bool receiveProposal(const envelope &received);
+    void perform(std::vector<proposer_action> actions);
+    void refuseOverdueSignOffs();
+    void onSignedOff(const agreed::record_sign_off &signOff);
     /** Excludes time in which this process was suspended or cut off from the observed silence of targets. */
     void checkListening();
     void logUnusedTargets();
@@ -109,6 +127,10 @@
     event *m_publicationDue = nullptr;
     bool m_isPublicationScheduled = false;
     std::map<exchange_id, http_request> m_open;
+    /** Brings sign-offs to the leader of the log. */
+    proposer m_proposer;
+    std::map<std::uint64_t, sign_off_call> m_signOffCalls;
+    std::uint64_t m_lastProposal = 0;
     time_point m_lastPollAt {};
     group::control_leases m_leases;
     /** Engines that are slow or whose group is broken, as the controllers of the groups say. */
--- a/src/agreed/state.cc
+++ b/src/agreed/state.cc
@@ -10,7 +10,9 @@
 namespace
 {
 
-constexpr std::uint32_t snapshotVersion = 1;
+constexpr std::uint32_t snapshotVersion = 2;
+/** The version before sign-offs were recorded. */
+constexpr std::uint32_t firstSnapshotVersion = 1;
 
 outcome nameTooLong()
 {
@@ -87,6 +89,11 @@
     return { .detail = std::to_string(dropped) + " claims expired" };
 }
 
+outcome state::run(const record_sign_off &what)
+{
+    return fits(what.target.value) ? m_signOffs.record(what, m_applied) : nameTooLong();
+}
+
 fence_number state::newFence()
 {
     ensure(m_applied.value > m_lastFence.value, result_code::invariant_fence_unique, "a fence is handed out twice");
@@ -110,6 +117,7 @@
     m_claims.write(out);
     m_fences.write(out);
     m_usage.write(out);
+    m_signOffs.write(out);
     return out.take();
 }
 
@@ -117,7 +125,8 @@
 {
     try {
         snapshot_reader in(bytes);
-        if (const auto version = in.take<std::uint32_t>(); version != snapshotVersion) {
+        const auto version = in.take<std::uint32_t>();
+        if (version < firstSnapshotVersion || version > snapshotVersion) {
             return fail(result_code::unsupported_version, "snapshot version " + std::to_string(version));
         }
         state restored;
@@ -128,6 +137,9 @@
         restored.m_claims.read(in);
         restored.m_fences.read(in);
         restored.m_usage.read(in);
+        if (version > firstSnapshotVersion) {
+            restored.m_signOffs.read(in);
+        }
         in.require(in.atEnd() && restored.m_lastFence.value <= restored.m_applied.value
                    && restored.configuration().revision.value <= restored.m_applied.value);
         return restored;
@@ -176,4 +188,9 @@
     return m_usage.totals();
 }
 
+const sign_off_table &state::signOffs() const
+{
+    return m_signOffs;
+}
+
 } // namespace figcleat::agreed
--- a/src/daemon/control-node.cc
+++ b/src/daemon/control-node.cc
@@ -75,6 +75,7 @@
     m_unsynced = 0;
     m_outcomes.clear();
     m_raft.emplace(m_log, std::move(restored), m_parts.time->now());
+    announceSignOffs();
     announceIfChanged();
     return {};
 }
@@ -192,6 +193,16 @@
     }
 }
 
+void control_node::announceSignOffs()
+{
+    if (!m_parts.onSignedOff) {
+        return;
+    }
+    for (const auto &signOff : m_state.signOffs().all()) {
+        m_parts.onSignedOff(signOff);
+    }
+}
+
 void control_node::flush()
 {
     const std::uint64_t sequence = std::exchange(m_unsynced, 0);
@@ -234,6 +245,10 @@
     if (m_outcomes.size() > maxOutcomesKept) {
         m_outcomes.erase(m_outcomes.begin());
     }
+    if (const auto *signOff = std::get_if<agreed::record_sign_off>(&*command);
+        signOff != nullptr && m_parts.onSignedOff) {
+        m_parts.onSignedOff(*signOff);
+    }
 }
 
 void control_node::carryOut(const consensus::reply_propose &action)
@@ -289,6 +304,7 @@
         return;
     }
     m_state = std::move(*restored);
+    announceSignOffs();
 }
 
 void control_node::carryOut(const consensus::halted &action)
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -25,6 +25,8 @@
 /** After a longer pause between polls this process may have been suspended and may have missed registrations. */
 constexpr duration listeningPause = std::chrono::seconds(1);
 constexpr std::size_t maxSubscribers = 4096;
+/** Callers ask another coordinator after a second without an answer. */
+constexpr duration signOffTimeout = std::chrono::milliseconds(900);
 /** After a longer pause between ticks this process may have been suspended, and its lease has to be checked. */
 constexpr duration suspendedPause = 4 * tickPeriod;
 /** A loop that is this late has more messages to handle than its processor share allows. */
@@ -53,6 +55,7 @@
 coordinator_node::coordinator_node(node_context context)
     : node_base(std::move(context))
     , m_directory(m_self.value)
+    , m_proposer(m_settings.seeds)
 {
     m_directory.resumeListening(m_startedAt);
 }
@@ -74,6 +77,7 @@
                        committed.number, committed.dataCentresOut.size());
         publishSoon();
     };
+    wiring.onSignedOff = [this](const agreed::record_sign_off &signOff) { onSignedOff(signOff); };
     auto control = control_node::open(own, m_self, m_random, std::move(wiring));
     if (!control) {
         return tl::unexpected<error>(control.error());
@@ -212,6 +216,10 @@
         logUnusedTargets();
         publishSoon();
     }
+    if (what.state != forward::registration_state::ready) {
+        signOff(exchange, what.target, what.order.startedMs);
+        return;
+    }
     answer(exchange, {});
 }
 
@@ -228,12 +236,102 @@
 
 void coordinator_node::carryOut(exchange_id exchange, const forward::deregister_target &call)
 {
-    if (m_directory.leave(call.target, call.startedMs, m_time->now())) {
-        logger()->info("event=target target={} state=gone started={}", call.target.value, call.startedMs);
+    const auto *known = m_directory.find(call.target);
+    const std::int64_t startedMs
+        = call.startedMs == 0 && known != nullptr ? known->latest.order.startedMs : call.startedMs;
+    // Fronts learn it even if the log cannot decide.
+    if (m_directory.leave(call.target, startedMs, m_time->now())) {
+        logger()->info("event=target target={} state=gone started={}", call.target.value, startedMs);
         logUnusedTargets();
         publishSoon();
     }
-    answer(exchange, {});
+    signOff(exchange, call.target, startedMs);
+}
+
+void coordinator_node::signOff(exchange_id exchange, const target_id &target, std::int64_t startedMs)
+{
+    if (m_control->state().signOffs().contains(target, startedMs)) {
+        answer(exchange, {});
+        return;
+    }
+    const std::uint64_t id = ++m_lastProposal;
+    m_signOffCalls.emplace(id, sign_off_call { exchange, now() + signOffTimeout });
+    if (const auto leader = m_control->status().leader; leader) {
+        m_proposer.onVoter(*leader, *leader);
+    }
+    perform(m_proposer.submit(id, agreed::record_sign_off { target, startedMs }, now()));
+}
+
+void coordinator_node::perform(std::vector<proposer_action> actions)
+{
+    for (auto &action : actions) {
+        std::visit(overloaded {
+                       [this](send_proposal &what) {
+                           if (what.to != m_self) {
+                               m_messenger->send(what.to, proposal { what.id, std::move(what.command) });
+                               return;
+                           }
+                           m_control->propose(std::move(what.command),
+                                              [this, id = what.id](result_code code, const agreed::outcome &result) {
+                                                  perform(m_proposer.onAnswer(m_self, id, code, result, {}, now()));
+                                              });
+                       },
+                       [this](const decided &what) {
+                           const auto call = m_signOffCalls.extract(what.id);
+                           const auto code = what.code != result_code::ok ? what.code : what.result.code;
+                           ++m_commands[code];
+                           if (!call.empty()) {
+                               answer(call.mapped().exchange, { .code = code, .detail = what.result.detail });
+                           }
+                       },
+                   },
+                   action);
+    }
+}
+
+void coordinator_node::refuseOverdueSignOffs()
+{
+    std::erase_if(m_signOffCalls, [this](const auto &item) {
+        const bool isOverdue = now() >= item.second.deadline;
+        if (isOverdue) {
+            answer(item.second.exchange,
+                   { .code = result_code::agreement_unavailable, .detail = "the log has not decided in time" });
+        }
+        return isOverdue;
+    });
+}
+
+bool coordinator_node::receiveProposal(const envelope &received)
+{
+    if (const auto *answered = std::get_if<proposal_answer>(&received.message); answered != nullptr) {
+        perform(m_proposer.onAnswer(received.from, answered->id, answered->code, answered->result, answered->leader,
+                                    now()));
+        return true;
+    }
+    const auto *asked = std::get_if<proposal>(&received.message);
+    if (asked == nullptr) {
+        return false;
+    }
+    if (!std::holds_alternative<agreed::record_sign_off>(asked->command)) {
+        logger()->warn("event=proposal_refused from={}", received.from.value);
+        return true;
+    }
+    m_control->propose(asked->command,
+                       [this, to = received.from, id = asked->id](result_code code, const agreed::outcome &result) {
+                           m_messenger->send(to, proposal_answer { id, code, result, leader() });
+                       });
+    return true;
+}
+
+void coordinator_node::onSignedOff(const agreed::record_sign_off &signOff)
+{
+    if (m_directory.hasSignedOff({ signOff.target, signOff.startedMs })
+        || !m_directory.leave(signOff.target, signOff.startedMs, now())) {
+        return;
+    }
+    logger()->info("event=target target={} state=gone started={} from=log", signOff.target.value, signOff.startedMs);
+    logUnusedTargets();
+    publishSoon();
 }
 
 void coordinator_node::logUnusedTargets()
@@ -333,6 +431,9 @@
         m_control->receive(received.from, *message);
         return;
     }
+    if (receiveProposal(received)) {
+        return;
+    }
     m_inbox.add(received);
     if (!std::exchange(m_isWaitingScheduled, true)) {
         loop::triggerAfter(m_waitingDue, {});
@@ -542,6 +643,7 @@
     const time_point now = m_time->now();
     m_links.onUpdate(received.from, received.incarnation, update, now);
     bool isNews = false;
+    m_proposer.onVoter(received.from, update.leader);
     for (const auto &one : update.changes) {
         isNews = m_directory.adopt(one, now) || isNews;
     }
@@ -607,6 +709,8 @@
     m_messenger->tick();
     m_control->tick();
     controlGroups();
+    perform(m_proposer.tick(now()));
+    refuseOverdueSignOffs();
     if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
         m_loop->stop();
     }
--- a/test/agreed-test.cc
+++ b/test/agreed-test.cc
@@ -483,6 +483,41 @@
 
 } // namespace
 
+// Guards against an acknowledged sign-off that a restart undoes, and against a table without bound.
+TEST_CASE("sign-offs are kept through restarts, the latest start of each target", "[agreed]")
+{
+    fixture f;
+    CHECK(f.apply(record_sign_off { { "desk-1" }, 5 }).code == result_code::ok);
+    CHECK(f.apply(record_sign_off { { "desk-1" }, 4 }).code == result_code::ok);
+    f.restart();
+    CHECK(f.copy.signOffs().contains({ "desk-1" }, 5));
+    CHECK_FALSE(f.copy.signOffs().contains({ "desk-1" }, 6));
+    CHECK_FALSE(f.copy.signOffs().contains({ "desk-2" }, 1));
+    for (std::size_t i = 0; i < sign_off_table::maxTargets; ++i) {
+        f.apply(record_sign_off { { "x" + std::to_string(i) }, 1 });
+    }
+    f.restart();
+    CHECK_FALSE(f.copy.signOffs().contains({ "desk-1" }, 5));
+    CHECK(f.copy.signOffs().all().size() == sign_off_table::maxTargets);
+    CHECK(f.copy.signOffs().all().back().target.value == "x" + std::to_string(sign_off_table::maxTargets - 1));
+    CHECK(f.apply(record_sign_off { { std::string(state::maxNameBytes + 1, 'x') }, 1 }).code
+          == result_code::malformed_request);
+}
+
+// Guards against a data folder of an earlier version that a coordinator refuses.
+TEST_CASE("a snapshot from before sign-offs were recorded is restored", "[agreed]")
+{
+    fixture f;
+    f.apply(submit_configuration { 5, "first" });
+    std::string earlier = f.copy.snapshot();
+    earlier.front() = 1;
+    earlier.pop_back();
+    const auto restored = state::restore(earlier);
+    REQUIRE(restored.has_value());
+    CHECK(restored->configuration().number == 5);
+    CHECK(restored->signOffs().all().empty());
+}
+
 // Guards against any order of commands and restarts that answers otherwise than the rules.
 TEST_CASE("random commands agree with a simple model", "[agreed]")
 {
--- a/test/membership-process-test.py
+++ b/test/membership-process-test.py
@@ -118,6 +118,63 @@
         self.check_served(statuses)
         self.assertEqual(ran, {"i-desk-1", "i-desk-2", "i-desk-3"})
 
+    async def sign_off(self, target, core, says):
+        target.state = "gone"
+        await asyncio.sleep(1.0)
+        target.beats += 1
+        body = {"service": target.service, "addr": f"127.0.0.1:{target.port}", "zone": "north", "version": "v1",
+                "slots": 8, "state": "draining", "cold-left-ms": 0, "seq": target.beats, "born": target.started}
+        return await self.control(core, "PUT" if says == "draining" else "DELETE", f"/-/instances/{target.name}",
+                                  json.dumps(body))
+
+    async def test_3_sign_off_and_loss_of_its_coordinator(self):
+        """Guards against an acknowledged sign-off that is lost with the coordinator that acknowledged it."""
+        for target, core, says in zip(self.world.targets, CORES, ("gone", "draining")):
+            self.assertEqual(await self.sign_off(target, core, says), 200)
+            self.world.processes[core].kill()
+            acknowledged = time.monotonic()
+            self.world.processes[core].wait()
+            await asyncio.sleep(1.0)
+            self.world.start(core)
+            await asyncio.sleep(max(0.0, acknowledged + DRAIN_SECONDS + 1.0 - time.monotonic()))
+            statuses, ran = await self.look_for(1.0)
+            self.check_served(statuses)
+            self.assertNotIn(target.name, ran)
+
+    async def test_4_sign_off_and_loss_of_all_coordinators(self):
+        """Guards against an acknowledged sign-off that only memory holds."""
+        target = self.world.targets[0]
+        self.assertEqual(await self.sign_off(target, "core-1", "gone"), 200)
+        for core in CORES:
+            self.world.processes[core].kill()
+        for core in CORES:
+            self.world.processes[core].wait()
+            self.world.start(core)
+        await asyncio.sleep(5.0)
+        statuses, ran = await self.look_for(1.0)
+        self.check_served(statuses)
+        self.assertNotIn(target.name, ran)
+
+    async def test_5_without_a_quorum(self):
+        """Guards against targets that cannot register without a quorum, and against promises that nothing keeps."""
+        for core in CORES[1:]:
+            self.world.processes[core].kill()
+            self.world.processes[core].wait()
+        await asyncio.sleep(4.0)
+        late = Target(self.world, "i-desk-4", "desk")
+        await late.open()
+        self.world.targets.append(late)
+        self.tasks.append(asyncio.create_task(late.beat()))
+        await asyncio.sleep(2.0)
+        statuses, ran = await self.look_for(2.0)
+        self.check_served(statuses)
+        self.assertIn(late.name, ran)
+        leaving = self.world.targets[0]
+        self.assertEqual(await self.sign_off(leaving, "core-1", "gone"), 503)
+        statuses, ran = await self.look_for(1.0)
+        self.check_served(statuses)
+        self.assertNotIn(leaving.name, ran)
+
 
 if __name__ == "__main__":
     processes.main()
