Send a configuration once, as a change

Cause: a front that had not reported a configuration at its next poll was sent it again. During a series of long configurations the copies waited on the links of two coordinators, so that they were repeated every 0.4 s: 17 to 25 MB/s on links of 21 MB/s from 17 s to 34 s, also for log and acknowledgements.

Ruled out: slow fronts (processor time at 2%, revisions arrive late); a slow log (the leader's loop is 1 ms late at most).

Fronts report at once. Coordinators send the change from the revision that a front has, if they still have it.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -5,6 +5,7 @@
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/daemon/proposer.h"
 #include "figcleat/forward/configuration-feed.h"
+#include "figcleat/forward/configuration-history.h"
 #include "figcleat/group/control-leases.h"
 #include "figcleat/http/server.h"
 
@@ -36,6 +37,8 @@
         /** What the node has, as it said or as it was sent since. */
         std::uint64_t directoryVersion = 0;
         std::uint64_t contactsChecksum = 0;
+        incarnation_id incarnation {};
+        bool takesDeltas = false;
         /** Targets of which the node wants the current registration with the next update. */
         std::vector<target_id> doubted;
         forward::configuration_feed configuration;
@@ -112,6 +115,8 @@
     void publishSoon();
     void publish();
     void update(const peer_address &to, subscriber &who);
+    /** Adds the configuration in force, as a copy or as a change, if the front is to be sent it now. */
+    void addConfiguration(forward::node_update &message, subscriber &who);
     void pollOthers();
     void tick();
     /** Tells when this process cannot keep up with its messages. */
@@ -120,6 +125,7 @@
     std::unique_ptr<control_node> m_control;
     std::unique_ptr<http_server> m_server;
     forward::target_directory m_directory;
+    forward::configuration_history m_configurations;
     std::map<peer_address, subscriber> m_subscribers;
     coordinator_inbox m_inbox;
     event *m_waitingDue = nullptr;
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -87,6 +87,8 @@
     forward::forwarder m_forwarder;
     revision_number m_revision;
     std::uint64_t m_version = 0;
+    /** Content of the configuration in force, to which changes are applied. */
+    std::string m_configuration;
     http_client_pool m_clients;
     connect_probe m_probes;
     std::map<attempt_number, open_attempt> m_attempts;
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figcleat/agreed/commands.h"
+#include "figcleat/forward/content-delta.h"
 #include "figcleat/forward/target-directory.h"
 #include "figcleat/group/control-messages.h"
 
@@ -61,8 +62,11 @@
     std::vector<group::group_membership> seat;
     /** Targets that another coordinator reported as absent; the update names their registrations. */
     std::vector<target_id> doubted;
+    /** The node can be sent changes of the configuration instead of copies. */
+    bool takesDeltas = false;
 
-    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision, seat, doubted)
+    MSGPACK_DEFINE(vm, dataCentre, role, coordinator, directoryVersion, contactsChecksum, revision, seat, doubted,
+                   takesDeltas)
 };
 
 /** Condition of a model engine that is slow or whose group is broken. */
@@ -79,6 +83,19 @@
     MSGPACK_DEFINE(address, isOpen, pace)
 };
 
+/** The change from one configuration to a later one. */
+struct configuration_delta
+{
+    revision_number base;
+    /** The configuration that results, without its content. */
+    agreed::configuration_in_force result;
+    /** Checksum of the resulting content. */
+    std::uint64_t checksum = 0;
+    std::vector<delta_piece> pieces;
+
+    MSGPACK_DEFINE(base, result, checksum, pieces)
+};
+
 /** State of a coordinator; sent as the answer to a poll and immediately after a change. */
 struct node_update
 {
@@ -99,9 +116,11 @@
     bool knowsEngines = false;
     /** Engines that are slow or whose group is broken. */
     std::vector<engine_condition> engines;
+    /** Sent instead of `configuration` to a receiver that has the configuration from which it starts. */
+    std::vector<configuration_delta> configurationDelta;
 
     MSGPACK_DEFINE(directoryVersion, since, changes, configuration, contacts, contactsChecksum, leader, term,
-                   knowsEngines, engines)
+                   knowsEngines, engines, configurationDelta)
 };
 
 /** Number of requests at one target, of one node or summed over several. */
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -75,6 +75,7 @@
     wiring.onCommitted = [this](const agreed::configuration_in_force &committed) {
         logger()->info("event=configuration revision={} version={} data_centres_out={}", committed.revision.value,
                        committed.number, committed.dataCentresOut.size());
+        m_configurations.add(committed);
         publishSoon();
     };
     wiring.onSignedOff = [this](const agreed::record_sign_off &signOff) { onSignedOff(signOff); };
@@ -483,7 +484,11 @@
     who.heard = m_time->now();
     who.directoryVersion = isSameLife ? poll.directoryVersion : 0;
     who.contactsChecksum = isSameLife ? poll.contactsChecksum : 0;
+    if (std::exchange(who.incarnation, received.incarnation) != received.incarnation) {
+        who.configuration = {};
+    }
     who.doubted = poll.doubted;
+    who.takesDeltas = poll.takesDeltas;
     who.configuration.onPoll(poll.revision, m_control->state().configuration().revision, who.heard);
     if (isNew) {
         collectContacts();
@@ -562,10 +567,8 @@
         const auto asked = m_directory.registrationsOf(std::exchange(who.doubted, {}), m_time->now());
         message.changes.insert(message.changes.end(), asked.begin(), asked.end());
     }
-    const auto &held = m_control->state().configuration();
-    const bool isNear = who.dataCentre == m_settings.dataCentre;
-    if (isFront && who.configuration.takeDue(isNear, held.revision, now())) {
-        message.configuration.push_back(held);
+    if (isFront) {
+        addConfiguration(message, who);
     }
     const auto &known = isFront ? m_frontContacts : m_otherContacts;
     message.contactsChecksum = known.checksum;
@@ -584,6 +587,23 @@
     m_messenger->send(to, std::move(message));
 }
 
+void coordinator_node::addConfiguration(forward::node_update &message, subscriber &who)
+{
+    const auto &held = m_control->state().configuration();
+    const bool isNear = who.dataCentre == m_settings.dataCentre;
+    const auto delta = who.takesDeltas ? m_configurations.deltaFrom(who.configuration.base()) : nullptr;
+    const bool isDelta = delta && delta->result.revision == held.revision;
+    const std::size_t bytes = isDelta ? m_configurations.sizeFrom(who.configuration.base()) : held.content.size();
+    if (!who.configuration.takeDue(isNear, held.revision, now(), bytes)) {
+        return;
+    }
+    if (isDelta) {
+        message.configurationDelta.push_back(*delta);
+    } else {
+        message.configuration.push_back(held);
+    }
+}
+
 void coordinator_node::collectContacts()
 {
     forward::node_contacts all;
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -4,6 +4,7 @@
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 #include "figcleat/daemon/target-status.h"
+#include "figcleat/forward/configuration-history.h"
 
 #include <algorithm>
 #include <cctype>
@@ -386,9 +387,22 @@
         }
     }
     logUnused(m_directory, *logger(), now);
+    const auto revision = m_revision;
     for (const auto &one : update.configuration) {
         apply(one);
     }
+    for (const auto &delta : update.configurationDelta) {
+        if (const auto result = forward::applyConfigurationDelta(delta, m_revision, m_configuration); result) {
+            apply(*result);
+        } else if (delta.result.revision > m_revision) {
+            logger()->warn("event=configuration_change_unusable revision={} base={} held={}",
+                           delta.result.revision.value, delta.base.value, m_revision.value);
+        }
+    }
+    if (m_revision != revision) {
+        // Coordinators send the next configuration once this one is reported.
+        pollCoordinators(m_revision, {}, m_directory.doubted());
+    }
     if (update.knowsEngines) {
         m_forwarder.pool().setEngines(update.engines, now);
     }
@@ -421,6 +435,7 @@
     }
     m_revision = configuration.revision;
     m_version = configuration.number;
+    m_configuration = configuration.content;
     m_forwarder.setRoutes(std::make_shared<const forward::route_index>(std::move(*routes)));
     m_forwarder.pool().setEvacuated({ configuration.dataCentresOut.begin(), configuration.dataCentresOut.end() });
     logger()->info("event=configuration revision={} version={} data_centres_out={}", m_revision.value, m_version,
--- a/src/daemon/node-base.cc
+++ b/src/daemon/node-base.cc
@@ -62,7 +62,8 @@
     for (const auto &[address, link] : m_links.links()) {
         m_messenger->send(address,
                           forward::node_poll { m_settings.vm, m_settings.dataCentre, m_settings.role, link.incarnation,
-                                               link.directoryVersion, link.contactsChecksum, revision, seat, doubted });
+                                               link.directoryVersion, link.contactsChecksum, revision, seat, doubted,
+                                               true });
     }
 }
 
