--- a/test/soak-process-test.py
+++ b/test/soak-process-test.py
@@ -36,6 +36,10 @@
         """Guards against a front that exceeds its memory while all targets send lines without end."""
         self.play(1, 5, ("endless-head", "endless-continue"))
 
+    def test_bodies_without_end(self):
+        """Guards against a front that keeps all of a body that never ends, and fails its other callers with it."""
+        self.play(2, 5, ("endless-body", "endless-event"))
+
     def test_regressions(self):
         self.play_all(1, 30)
 
