Keep callers' requests and answers within the memory of the VM

Callers saw: a front that ran out of memory ends, and the requests of all its callers with it. Clients had sent bodies far over the limit, or bodies that never ended.

Cause: each connection had limits of its own (1 MiB for a body, 1 MiB of unread events, no limit for a whole answer) and nothing limited them together; a body reserved its announced length, and the number of connections was fixed at 1,800 whatever descriptors the VM has. glibc kept large freed buffers.

Ruled out: the parser and the forwarder's buffers (bounded already); heads (16 KiB each, 31 KB held).

Change: http/connection-budget decides, without socket and clock, what all connections may hold: requests are refused as not run before their body is read, and above the limit the connection that has held most bytes for longest is closed. Limits come from the settings' memory-mb and max-fds. Bodies up to the configuration's max-body-bytes are taken (413 from 1 MiB before).

--- a/include/figcleat/core/result-code.h
+++ b/include/figcleat/core/result-code.h
@@ -39,6 +39,7 @@
     agreement_unavailable = 210,
     claims_full = 211,
     prompt_quarantined = 212,
+    memory_full = 213,
 
     stale_incarnation = 300,
     stale_fence = 301,
@@ -134,7 +135,7 @@
 /** Row of the result code table. */
 [[nodiscard]] const result_info &describe(result_code code);
 /** Every row, in ascending order of code. */
-[[nodiscard]] const std::array<result_info, 87> &resultTable();
+[[nodiscard]] const std::array<result_info, 88> &resultTable();
 [[nodiscard]] std::string_view toString(execution ran);
 
 struct error
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -97,6 +97,7 @@
     time_point m_lastPollAt {};
     forward::load_exchange m_loads;
     front_metrics m_counts;
+    std::uint64_t m_callersRejected = 0;
     time_point m_quarantineSharedAt {};
     /** Queries that no other front has answered yet; none are sent after the first update. */
     int m_quarantineQueries = 0;
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -312,6 +312,10 @@
     /** Retries allowed within the window in addition to that share, over all nodes. */
     std::uint32_t retrySlack = 0;
     duration retryWindow = std::chrono::seconds(10);
+    /** Bytes of all buffered answers and events together. */
+    std::size_t maxBufferedBytes = std::size_t { 32 } * 1024 * 1024;
+    /** Requests in progress; those of one service leave a part of them to others. */
+    std::size_t maxRequests = 4096;
     std::uint64_t seed = 1;
     /** This front, as other fronts know it. */
     peer_address self {};
@@ -328,9 +332,6 @@
 public:
     /** Longest body of an answer that is not streamed, in bytes. */
     static constexpr std::size_t maxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
-    /** Bytes of all buffered answers and events together: a fifth of the 160 MB of memory of a front. */
-    static constexpr std::size_t maxBufferedBytes = std::size_t { 32 } * 1024 * 1024;
-    static constexpr std::size_t maxRequests = 4096;
 
     explicit forwarder(forwarder_settings settings);
 
@@ -439,6 +440,8 @@
     [[nodiscard]] bool comesTooLate(const route &matchedRoute) const;
     void recordAnswerTime(const route &matchedRoute, duration time);
     [[nodiscard]] service_id pickService(const route &matchedRoute);
+    /** True if the service has so many requests in progress that another one would leave too little to others. */
+    [[nodiscard]] bool isServiceFull(const service_id &service) const;
     /** Ends the request, or keeps it queued, while its retry is held; false if it may be assigned to a target. */
     [[nodiscard]] bool isRetryHeld(exchange_id exchange, request_state &state);
     /** Starts an attempt if a target has capacity; otherwise queues the request or ends it with an error. */
@@ -501,6 +504,8 @@
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     std::deque<exchange_id> m_waiting;
+    /** Requests in progress of each service. */
+    std::map<service_id, std::size_t> m_requestCounts;
     std::size_t m_bufferedBytes = 0;
     std::optional<time_point> m_stopBy;
     /** Longest recent time to a complete answer; decays with each shorter one. */
--- a/include/figcleat/forward/node-settings.h
+++ b/include/figcleat/forward/node-settings.h
@@ -28,6 +28,13 @@
     std::uint32_t toleratedLosses = 1;
 };
 
+/** What the VM of a node gives its process. */
+struct vm_limits
+{
+    std::uint64_t memoryBytes = 160'000'000;
+    std::uint32_t descriptors = 4100;
+};
+
 /** Validated settings of one node. */
 struct node_settings
 {
@@ -56,6 +63,7 @@
     service_id service;
     std::vector<data_centre_id> dataCentres;
     deployment_bounds bounds;
+    vm_limits limits;
 };
 
 } // namespace figcleat::forward
--- a/include/figcleat/forward/route-table.h
+++ b/include/figcleat/forward/route-table.h
@@ -87,6 +87,8 @@
     std::vector<route> routes;
     std::vector<service_limits> services;
     std::vector<workspace_keys> workspaces;
+    /** Longest body of a request, in bytes. */
+    std::size_t maxBodyBytes = std::size_t { 4 } * 1024 * 1024;
 };
 
 /** Fails with `configuration_invalid` and a description of the first problem found. */
@@ -104,6 +106,7 @@
     [[nodiscard]] const service_limits *limitsOf(const service_id &service) const;
     [[nodiscard]] bool hasWorkspaces() const;
     [[nodiscard]] std::uint64_t version() const;
+    [[nodiscard]] std::size_t maxBodyBytes() const;
 
 private:
     route_table m_table;
--- a/include/figcleat/http/server.h
+++ b/include/figcleat/http/server.h
@@ -3,6 +3,7 @@
 #include "figcleat/core/clock.h"
 #include "figcleat/core/ids.h"
 #include "figcleat/core/result-code.h"
+#include "figcleat/http/connection-budget.h"
 
 #include <memory>
 #include <string>
@@ -38,7 +39,10 @@
     virtual void onRequest(exchange_id exchange, http_request request) = 0;
     /** The caller closed its connection before its answer was whole; the exchange no longer exists. */
     virtual void onCallerGone(exchange_id exchange) = 0;
-    /** The adapter refused a request by itself, for example body_too_large. */
+    /**
+     * The adapter refused a request by itself, for example body_too_large, or closed a connection whose caller does not
+     * take its answers (buffer_full).
+     */
     virtual void onRejected(result_code code) = 0;
 };
 
@@ -50,6 +54,8 @@
     duration ioTimeout = std::chrono::seconds(10);
     std::size_t bufferedAnswerBytes = std::size_t { 1024 } * 1024;
     std::size_t connections = 8192;
+    /** Bytes of all connections together: requests, their copies for targets, and answers that are not taken yet. */
+    std::size_t heldBytes = std::size_t { 256 } * 1024 * 1024;
 };
 
 /**
@@ -68,7 +74,7 @@
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
-    void reply(exchange_id exchange, int status, const http_headers &headers, std::string_view body);
+    void reply(exchange_id exchange, int status, const http_headers &headers, std::string body);
     void startStream(exchange_id exchange, int status, const http_headers &headers);
     /** False if the caller reads so slowly that its buffer is full. */
     [[nodiscard]] bool sendPiece(exchange_id exchange, std::string_view bytes);
@@ -82,6 +88,9 @@
     void closeIdle();
     /** True while some answer has not been passed on to its caller's connection in full. */
     [[nodiscard]] bool hasUnsentBytes() const;
+    /** Sets the limit for bodies of requests that begin from now on. */
+    void setBodyLimit(std::size_t bytes);
+    [[nodiscard]] const connection_budget &budget() const;
 
 private:
     struct state;
--- a/src/core/result-code.cc
+++ b/src/core/result-code.cc
@@ -11,11 +11,11 @@
 using enum result_code;
 using enum execution;
 
-constexpr std::array<result_info, 87> table { {
+constexpr std::array<result_info, 88> table { {
     { ok, "ok", ran, 200, 0, "The request ran and its whole answer was delivered." },
     { malformed_request, "malformed_request", not_run, 400, 10, "The HTTP request cannot be parsed." },
     { header_too_large, "header_too_large", not_run, 431, 10, "The headers exceed 16 KiB." },
-    { body_too_large, "body_too_large", not_run, 413, 10, "The body exceeds 1 MiB." },
+    { body_too_large, "body_too_large", not_run, 413, 10, "The body exceeds the limit." },
     { malformed_json, "malformed_json", not_run, 400, 10, "The body is not a valid completion request." },
     { wrong_credential, "wrong_credential", not_run, 401, 10, "No workspace has this credential." },
     { unknown_service, "unknown_service", not_run, 404, 10, "The configuration has no such service or model." },
@@ -42,6 +42,7 @@
     { claims_full, "claims_full", not_run, 503, 11, "The table of idempotency keys is full." },
     { prompt_quarantined, "prompt_quarantined", not_run, 503, 11,
       "Requests with a part of this prompt have crashed targets." },
+    { memory_full, "memory_full", not_run, 503, 11, "Connections hold as many bytes as this process may use." },
     { stale_incarnation, "stale_incarnation", not_run, 503, 11,
       "The dispatch names an earlier incarnation of the target." },
     { stale_fence, "stale_fence", not_run, 503, 11, "The dispatch or order carries an old fencing number." },
@@ -141,7 +142,7 @@
     return row != table.end() && row->code == code ? *row : table.back();
 }
 
-const std::array<result_info, 87> &resultTable()
+const std::array<result_info, 88> &resultTable()
 {
     return table;
 }
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -44,6 +44,11 @@
 constexpr duration publicationDelay = std::chrono::milliseconds(10);
 /** Fronts that are named to fronts, about 35 bytes each. */
 constexpr std::size_t maxFrontsNamed = 1024;
+/** Calls take half of the descriptors; the rest is for messages between nodes and for the log. */
+constexpr std::size_t descriptorsPerCall = 2;
+constexpr std::size_t minCalls = 16;
+/** Share of the VM's memory for calls and their answers. */
+constexpr double callMemoryShare = 0.3;
 
 auto logger()
 {
@@ -101,6 +106,8 @@
     }
     http_limits limits;
     limits.bodyBytes = maxMessageBytes;
+    limits.connections = std::max<std::size_t>(minCalls, m_settings.limits.descriptors / descriptorsPerCall);
+    limits.heldBytes = static_cast<std::size_t>(callMemoryShare * static_cast<double>(m_settings.limits.memoryBytes));
     auto server = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, limits, *this);
     if (!server) {
         return tl::unexpected<error>(server.error());
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -26,8 +26,17 @@
 /** A network round trip takes a few milliseconds; a lost opening packet is sent again after a second at the earliest.
  */
 constexpr duration connectTimeout = std::chrono::milliseconds(250);
-/** A process has 4,100 descriptors, 200 of them for files; each caller may need a second one for its target. */
 constexpr std::size_t maxCallers = 1800;
+constexpr std::size_t minCallers = 16;
+/** Descriptors for files, messages between nodes, metrics and probes of targets. */
+constexpr std::size_t ownDescriptors = 200;
+/** Each caller needs a descriptor, and a second one for its target. */
+constexpr std::size_t descriptorsPerCaller = 2;
+/** Shares of the VM's memory for requests and answers of callers, and for answers that targets have not completed. */
+constexpr double callerMemoryShare = 0.3;
+constexpr double answerMemoryShare = 0.2;
+/** A request of the largest size leaves room for others of its kind. */
+constexpr std::size_t largestRequestsHeld = 4;
 /** The forwarder ends silent attempts; this is above the longest route timeout. */
 constexpr duration answerTimeout = std::chrono::minutes(10);
 /** After a planned stop, time in which the platform notices that this front is not ready: two questions a second apart
@@ -64,6 +73,20 @@
     return logFor(part::request);
 }
 
+std::size_t shareOf(const forward::vm_limits &vm, double share)
+{
+    return static_cast<std::size_t>(share * static_cast<double>(vm.memoryBytes));
+}
+
+http_limits callerLimits(const forward::vm_limits &vm)
+{
+    const std::size_t forCallers = vm.descriptors - std::min<std::size_t>(vm.descriptors, ownDescriptors);
+    http_limits limits;
+    limits.connections = std::clamp(forCallers / descriptorsPerCaller, minCallers, maxCallers);
+    limits.heldBytes = shareOf(vm, callerMemoryShare);
+    return limits;
+}
+
 forward::forwarder_settings forwarderSettings(const forward::node_settings &settings, std::uint64_t random,
                                               const peer_address &self, incarnation_id incarnation)
 {
@@ -76,6 +99,8 @@
     chosen.seed = random;
     chosen.self = self;
     chosen.incarnation = incarnation;
+    chosen.maxBufferedBytes = shareOf(settings.limits, answerMemoryShare);
+    chosen.maxRequests = callerLimits(settings.limits).connections;
     return chosen;
 }
 
@@ -212,9 +237,8 @@
     if (auto opened = openMailbox().and_then([this] { return openMetrics(); }); !opened) {
         return opened;
     }
-    http_limits limits;
-    limits.connections = maxCallers;
-    auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port, limits, *this);
+    auto callers = http_server::open(m_loop->base(), m_settings.listen.ip, m_settings.listen.port,
+                                     callerLimits(m_settings.limits), *this);
     if (!callers) {
         return tl::unexpected<error>(callers.error());
     }
@@ -275,6 +299,12 @@
     m_counts.write(page);
     page.gauge("figcleat_requests_in_progress", "Requests without their final answer.", {},
                static_cast<double>(m_forwarder.requestsInProgress()));
+    page.gauge("figcleat_caller_bytes", "Bytes of callers' requests and answers that connections hold.", {},
+               static_cast<double>(m_callers->budget().totalBytes()));
+    page.gauge("figcleat_caller_bytes_limit", "Bytes above which connections are closed.", {},
+               static_cast<double>(m_callers->budget().maxBytes()));
+    page.counter("figcleat_callers_rejected_total", "Requests and connections that the HTTP server refused by itself.",
+                 {}, m_callersRejected);
     for (const auto &one : m_forwarder.loadSummary(now())) {
         writeServiceLoad(page, one);
     }
@@ -335,7 +365,9 @@
 
 void front_node::onRejected(result_code code)
 {
-    logger()->warn("event=request_rejected code={}", describe(code).name);
+    ++m_callersRejected;
+    logger()->warn("event=request_rejected code={} held_bytes={} limit={}", describe(code).name,
+                   m_callers->budget().totalBytes(), m_callers->budget().maxBytes());
 }
 
 void front_node::onAnswerStart(attempt_id attempt, int status, const http_headers &headers)
@@ -436,6 +468,7 @@
     m_revision = configuration.revision;
     m_version = configuration.number;
     m_configuration = configuration.content;
+    m_callers->setBodyLimit(std::min(routes->maxBodyBytes, m_callers->budget().maxBytes() / largestRequestsHeld));
     m_forwarder.setRoutes(std::make_shared<const forward::route_index>(std::move(*routes)));
     m_forwarder.pool().setEvacuated({ configuration.dataCentresOut.begin(), configuration.dataCentresOut.end() });
     logger()->info("event=configuration revision={} version={} data_centres_out={}", m_revision.value, m_version,
@@ -596,7 +629,7 @@
 
 void front_node::carryOut(forward::send_answer &action)
 {
-    m_callers->reply(action.exchange, action.head.status, action.head.headers, action.body);
+    m_callers->reply(action.exchange, action.head.status, action.head.headers, std::move(action.body));
 }
 
 void front_node::carryOut(const forward::start_event_stream &action)
--- a/src/daemon/reply-server.cc
+++ b/src/daemon/reply-server.cc
@@ -3,11 +3,21 @@
 namespace figcleat
 {
 
+namespace
+{
+
+/** Operators and the platform ask a few short questions a second. */
+constexpr http_limits replyLimits { .bodyBytes = std::size_t { 64 } * 1024,
+                                    .connections = 128,
+                                    .heldBytes = std::size_t { 4 } * 1024 * 1024 };
+
+} // namespace
+
 expected<std::unique_ptr<reply_server>> reply_server::open(event_base *loop, const socket_address &listen, part where,
                                                            std::string name, answer_function answer)
 {
     auto opened = std::unique_ptr<reply_server>(new reply_server(where, std::move(name), std::move(answer)));
-    auto server = http_server::open(loop, listen.ip, listen.port, {}, *opened);
+    auto server = http_server::open(loop, listen.ip, listen.port, replyLimits, *opened);
     if (!server) {
         return tl::unexpected<error>(server.error());
     }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -40,6 +40,9 @@
 constexpr int retryDelayDivisor = 3;
 /** Shortest retry delay as a share of the longest: a lack of capacity or of targets lasts a while. */
 constexpr double minRetryDelayShare = 0.6;
+/** Share of all requests in progress that may be for one service, so that targets which do not answer block others
+ * only for callers of their own service. */
+constexpr double maxServiceShare = 0.75;
 /** Retry delay for requests that are refused before their deadline is known. */
 constexpr milliseconds defaultRetryDelay { 1000 };
 /** The decay of the longest recent answer with each shorter one. */
@@ -156,7 +159,13 @@
         refuse(event.exchange, state, *refused);
         return;
     }
-    state.service = pickService(*state.matchedRoute);
+    const auto service = pickService(*state.matchedRoute);
+    if (isServiceFull(service)) {
+        refuse(event.exchange, state, { result_code::queue_full, false, defaultRetryDelay });
+        return;
+    }
+    state.service = service;
+    ++m_requestCounts[service];
     auto &budget = m_budgets
                        .try_emplace(state.service,
                                     request::retry_budget_settings {
@@ -173,7 +182,7 @@
     if (!m_routes) {
         return refusal { result_code::not_configured, false, defaultRetryDelay };
     }
-    if (m_requests.size() > maxRequests) {
+    if (m_requests.size() > m_settings.maxRequests) {
         return refusal { result_code::queue_full, false, defaultRetryDelay };
     }
     state.routes = m_routes;
@@ -228,6 +237,13 @@
     longest = std::max(time, std::chrono::duration_cast<duration>(longestAnswerDecay * longest));
 }
 
+bool forwarder::isServiceFull(const service_id &service) const
+{
+    const auto count = m_requestCounts.find(service);
+    return count != m_requestCounts.end()
+        && static_cast<double>(count->second) >= maxServiceShare * static_cast<double>(m_settings.maxRequests);
+}
+
 service_id forwarder::pickService(const route &matchedRoute)
 {
     std::uint64_t total = 0;
@@ -718,7 +734,7 @@
     }
     attempt.body += event.bytes;
     updateBufferedBytes(state);
-    if (attempt.body.size() > maxAnswerBytes || m_bufferedBytes > maxBufferedBytes) {
+    if (attempt.body.size() > maxAnswerBytes || m_bufferedBytes > m_settings.maxBufferedBytes) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
         state.executionCount += 1;
         endAttempt(state, attempt_result::failed);
@@ -738,7 +754,7 @@
         state.firstByteAt = state.firstByteAt.value_or(m_now);
         m_actions.emplace_back(send_events { exchange, std::move(completeEvents) });
     }
-    if (state.events.isTooLong() || m_bufferedBytes > maxBufferedBytes) {
+    if (state.events.isTooLong() || m_bufferedBytes > m_settings.maxBufferedBytes) {
         m_actions.emplace_back(cancel_attempt { state.currentAttempt });
         state.executionCount += 1;
         endAttempt(state, attempt_result::failed);
@@ -987,6 +1003,9 @@
     ended.configurationVersion = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
     m_bufferedBytes -= state.bufferedBytes;
+    if (const auto count = m_requestCounts.find(state.service); count != m_requestCounts.end()) {
+        count->second -= std::min<std::size_t>(1, count->second);
+    }
     m_requests.erase(exchange);
 }
 
--- a/src/forward/route-table.cc
+++ b/src/forward/route-table.cc
@@ -134,6 +134,11 @@
     return !m_table.workspaces.empty();
 }
 
+std::size_t route_index::maxBodyBytes() const
+{
+    return m_table.maxBodyBytes;
+}
+
 std::uint64_t route_index::version() const
 {
     return m_table.version;
--- a/src/http/request-reader.cc
+++ b/src/http/request-reader.cc
@@ -65,7 +65,7 @@
 } // namespace
 
 request_reader::request_reader(const http_limits &limits)
-    : m_limits(limits)
+    : m_limits(&limits)
 {
     start();
 }
@@ -75,8 +75,8 @@
     m_parser.emplace();
     // The head by itself first: the parser adds the fields after a body in chunks to those of the head.
     m_parser->eager(false);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes + headOverheadBytes));
-    m_parser->body_limit(m_limits.bodyBytes);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes + headOverheadBytes));
+    m_headBytes = 0;
     m_isStarted = false;
     m_isHeadChecked = false;
     m_awaitsContinue = false;
@@ -92,6 +92,32 @@
     return !m_isStarted;
 }
 
+std::size_t request_reader::headBytes() const
+{
+    return m_headBytes;
+}
+
+std::size_t request_reader::bodyBytes() const
+{
+    if (!m_parser->is_header_done()) {
+        return 0;
+    }
+    const auto announced = m_parser->content_length();
+    return announced ? static_cast<std::size_t>(*announced) : m_parser->get().body().size();
+}
+
+std::size_t request_reader::heldBytes() const
+{
+    // The parser and `m_headers` hold the head.
+    return 2 * m_headBytes + m_parser->get().body().capacity();
+}
+
+void request_reader::abandon()
+{
+    m_headers.clear();
+    start();
+}
+
 bool request_reader::takeContinue()
 {
     return std::exchange(m_awaitsContinue, false);
@@ -103,7 +129,9 @@
         return result_code::ok;
     }
     while (!isWhole() && evbuffer_get_length(input) > 0) {
-        m_isStarted = true;
+        if (!std::exchange(m_isStarted, true)) {
+            m_parser->body_limit(m_limits->bodyBytes);
+        }
         const std::size_t size = evbuffer_get_length(input);
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
         boost::beast::error_code problem;
@@ -141,7 +169,8 @@
         bytes += field.name_string().size() + field.value().size();
         m_headers.emplace_back(toView(field.name_string()), toView(field.value()));
     }
-    if (bytes > m_limits.headerBytes) {
+    m_headBytes = bytes;
+    if (bytes > m_limits->headerBytes) {
         return result_code::header_too_large;
     }
     // The parser takes a request with another encoding for one without a body, and its body for the next request.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <random>
 #include <sys/socket.h>
 #include <unordered_map>
 
@@ -25,11 +26,19 @@
 
 constexpr int listenBacklog = 1024;
 constexpr duration idleTimeout = std::chrono::seconds(60);
-/** Bytes that wait while an answer is in progress; above the limit for a head, which is read in one piece. */
+/** Bytes that wait for the parser; above the limit for a head, which is read in one piece. */
 constexpr std::size_t maxUnreadBytes = std::size_t { 64 } * 1024;
+/** Bytes that wait while a request is in progress. */
+constexpr std::size_t maxPipelinedBytes = std::size_t { 8 } * 1024;
 /** The rest of a rejected request is thrown away up to this many times the limit for a body, so that the caller can
  * read the answer before the connection closes. */
-constexpr std::size_t discardFactor = 8;
+constexpr std::size_t discardFactor = 2;
+/** Larger bodies of answers are handed to libevent without a copy. */
+constexpr std::size_t maxCopiedBytes = std::size_t { 4 } * 1024;
+/** Delay in seconds after which a caller that was refused for lack of memory may come back; spread, so that callers do
+ * not come back all at once. */
+constexpr double minRetryAfterSeconds = 0.5;
+constexpr double maxRetryAfterSeconds = 1.5;
 /** A caller that has its final answer gets this long to close. */
 constexpr duration lingerTimeout = std::chrono::seconds(2);
 /** Without a free descriptor, accepting fails at once each time it is tried. */
@@ -65,6 +74,22 @@
     evbuffer_add(bufferevent_get_output(to), bytes.data(), bytes.size());
 }
 
+void appendBody(bufferevent *to, std::string body)
+{
+    if (body.size() <= maxCopiedBytes) {
+        append(to, body);
+        return;
+    }
+    auto kept = std::make_unique<std::string>(std::move(body));
+    const std::string &bytes = *kept;
+    evbuffer_add_reference(
+        bufferevent_get_output(to), bytes.data(), bytes.size(),
+        [](const void *, std::size_t, void *owner) {
+            const std::unique_ptr<std::string> ended(static_cast<std::string *>(owner));
+        },
+        kept.release());
+}
+
 std::size_t unsentBytes(bufferevent *from)
 {
     return evbuffer_get_length(bufferevent_get_output(from));
@@ -102,6 +127,7 @@
         }
         ~connection()
         {
+            evbuffer_remove_cb_entry(bufferevent_get_output(handle), outputWatch);
             event_free(timer);
             bufferevent_free(handle);
         }
@@ -109,7 +135,10 @@
         connection &operator=(const connection &) = delete;
 
         state *server = nullptr;
+        connection_budget::connection_key key = 0;
         bufferevent *handle = nullptr;
+        /** Accounts for the bytes of answers as they are added and sent. */
+        evbuffer_cb_entry *outputWatch = nullptr;
         /** Runs while a request is being received, and while the connection lingers. */
         event *timer = nullptr;
         request_reader reader;
@@ -124,6 +153,10 @@
         bool isHalfClosed = false;
         /** Grows with each use of any connection. */
         std::uint64_t lastUse = 0;
+        /** Value of `lastUse` with which the request began that is being received. */
+        std::uint64_t receivingSince = 0;
+        /** Bytes of the request in progress. */
+        std::size_t progressBytes = 0;
         /** Unread bytes of a request that was rejected. */
         std::size_t discarded = 0;
     };
@@ -136,6 +169,13 @@
     std::uint64_t uses = 0;
     http_limits limits;
     http_handler *handler = nullptr;
+    const system_clock time;
+    std::minstd_rand random;
+    connection_budget budget { 0 };
+    /** Closes connections while they hold too much; runs by itself, never inside a call of the handler. */
+    event *relief = nullptr;
+    connection_budget::connection_key lastKey = 0;
+    std::unordered_map<connection_budget::connection_key, connection *> connectionsByKey;
     std::unordered_map<connection *, std::unique_ptr<connection>> connections;
     std::vector<std::unique_ptr<connection>> ended;
     std::unordered_map<exchange_id, connection *> exchanges;
@@ -146,6 +186,9 @@
     void accept(evutil_socket_t socket);
     [[nodiscard]] bool makeRoom();
     [[nodiscard]] static bool isUnused(const connection &what);
+    /** Updates the budget; to be called after each change of the bytes that the connection holds. */
+    void account(connection &of);
+    void relieve();
     void read(connection &from);
     void awaitRest(connection &from) const;
     void receive(connection &from);
@@ -173,6 +216,7 @@
     }
     event_free(acceptAgain);
     event_free(reaper);
+    event_free(relief);
 }
 
 bool http_server::state::listen(const std::string &ip, std::uint16_t port)
@@ -188,6 +232,8 @@
         this);
     reaper = event_new(
         loop, -1, 0, [](evutil_socket_t, short, void *context) { static_cast<state *>(context)->ended.clear(); }, this);
+    relief = event_new(
+        loop, -1, 0, [](evutil_socket_t, short, void *context) { static_cast<state *>(context)->relieve(); }, this);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
@@ -220,22 +266,56 @@
         && evbuffer_get_length(bufferevent_get_input(what.handle)) == 0;
 }
 
-/** Ends the connection that was unused for longest; false if all are in use. */
+/**
+ * Ends the connection that was unused for longest or, if all are in use, the one that has been sending its request for
+ * longest; false if all of them wait for answers.
+ */
 bool http_server::state::makeRoom()
 {
-    connection *oldest = nullptr;
+    connection *unused = nullptr;
+    connection *slowest = nullptr;
     for (const auto &[one, owned] : connections) {
-        if (isUnused(*one) && (oldest == nullptr || one->lastUse < oldest->lastUse)) {
-            oldest = one;
+        if (isUnused(*one) || one->now == phase::lingering) {
+            unused = unused == nullptr || one->lastUse < unused->lastUse ? one : unused;
+        } else if (one->now == phase::reading && unsentBytes(one->handle) == 0) {
+            slowest = slowest == nullptr || one->receivingSince < slowest->receivingSince ? one : slowest;
         }
     }
-    if (oldest == nullptr) {
+    connection *chosen = unused != nullptr ? unused : slowest;
+    if (chosen == nullptr) {
         return false;
     }
-    end(*oldest);
+    end(*chosen);
     return true;
 }
 
+void http_server::state::account(connection &of)
+{
+    if (of.now == phase::ended) {
+        return;
+    }
+    const std::size_t unread = evbuffer_get_length(bufferevent_get_input(of.handle));
+    const std::size_t receiving = of.now == phase::reading ? unread + of.reader.heldBytes() : 0;
+    const std::size_t inProgress = of.now == phase::answering ? unread + of.progressBytes : 0;
+    budget.update(of.key, { receiving, inProgress, unsentBytes(of.handle) }, time.now());
+    if (budget.isExceeded()) {
+        event_active(relief, EV_TIMEOUT, 0);
+    }
+}
+
+void http_server::state::relieve()
+{
+    while (const auto key = budget.excess(time.now())) {
+        auto &holder = *connectionsByKey.at(*key);
+        if (holder.now == phase::reading && unsentBytes(holder.handle) == 0) {
+            reject(holder, result_code::memory_full);
+        } else {
+            handler->onRejected(result_code::buffer_full);
+            end(holder);
+        }
+    }
+}
+
 void http_server::state::accept(evutil_socket_t socket)
 {
     if (connections.size() >= limits.connections && !makeRoom()) {
@@ -249,6 +329,8 @@
     auto owned = std::make_unique<connection>(limits);
     auto &made = *owned;
     made.server = this;
+    made.key = ++lastKey;
+    connectionsByKey.emplace(made.key, &made);
     made.lastUse = ++uses;
     made.handle = bufferevent_socket_new(loop, socket, BEV_OPT_CLOSE_ON_FREE);
     made.timer = evtimer_new(
@@ -273,6 +355,13 @@
             of.server->onEvent(of, events);
         },
         &made);
+    made.outputWatch = evbuffer_add_cb(
+        bufferevent_get_output(made.handle),
+        [](evbuffer *, const evbuffer_cb_info *, void *context) {
+            auto &of = *static_cast<connection *>(context);
+            of.server->account(of);
+        },
+        &made);
     bufferevent_setwatermark(made.handle, EV_READ, 0, maxUnreadBytes);
     const timeval idle = toTimeval(idleTimeout);
     const timeval write = toTimeval(limits.ioTimeout);
@@ -288,11 +377,17 @@
         return;
     }
     while (from.now == phase::reading) {
-        if (const auto code = from.reader.read(bufferevent_get_input(from.handle)); code != result_code::ok) {
+        from.receivingSince = from.reader.isIdle() ? ++uses : from.receivingSince;
+        auto code = from.reader.read(bufferevent_get_input(from.handle));
+        if (code == result_code::ok && !budget.mayAccept(from.reader.headBytes(), from.reader.bodyBytes())) {
+            code = result_code::memory_full;
+        }
+        if (code != result_code::ok) {
             reject(from, code);
             return;
         }
         if (!from.reader.isWhole()) {
+            account(from);
             awaitRest(from);
             return;
         }
@@ -315,8 +410,11 @@
 void http_server::state::receive(connection &from)
 {
     evtimer_del(from.timer);
+    from.progressBytes = connection_budget::progressBytes(from.reader.headBytes(), from.reader.bodyBytes());
     auto received = from.reader.take();
     from.now = phase::answering;
+    bufferevent_setwatermark(from.handle, EV_READ, 0, maxPipelinedBytes);
+    account(from);
     from.keepAlive = received.keepAlive;
     from.takesChunks = received.takesChunks;
     from.hasBody = received.request.method != "HEAD";
@@ -332,13 +430,17 @@
     const auto &info = describe(code);
     const auto number = static_cast<int>(code);
     const std::string body = fmt::format("{{\"error\":{{\"code\":{},\"name\":\"{}\"}}}}\n", number, info.name);
-    sendHead(from,
-             headOf(info.httpStatus,
-                    { { "Content-Type", "application/json" },
-                      { "X-Figcleat-Code", std::to_string(number) },
-                      { "X-Figcleat-Request", std::string(toString(info.ran)) },
-                      { "Connection", "close" },
-                      { "Content-Length", std::to_string(body.size()) } }));
+    http_headers headers { { "Content-Type", "application/json" },
+                           { "X-Figcleat-Code", std::to_string(number) },
+                           { "X-Figcleat-Request", std::string(toString(info.ran)) },
+                           { "Connection", "close" },
+                           { "Content-Length", std::to_string(body.size()) } };
+    if (code == result_code::memory_full) {
+        std::uniform_real_distribution<double> delay(minRetryAfterSeconds, maxRetryAfterSeconds);
+        headers.emplace_back("Retry-After", fmt::format("{:.3f}", delay(random)));
+    }
+    from.reader.abandon();
+    sendHead(from, headOf(info.httpStatus, headers));
     append(from.handle, body);
     finishAnswer(from, false);
     discard(from);
@@ -349,6 +451,7 @@
     evbuffer *input = bufferevent_get_input(from.handle);
     from.discarded += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
+    account(from);
     if (from.discarded > limits.bodyBytes * discardFactor) {
         end(from);
     }
@@ -403,6 +506,8 @@
     if (std::exchange(what.now, phase::ended) == phase::ended) {
         return;
     }
+    budget.remove(what.key);
+    connectionsByKey.erase(what.key);
     evtimer_del(what.timer);
     bufferevent_setcb(what.handle, nullptr, nullptr, nullptr, nullptr);
     bufferevent_disable(what.handle, EV_READ | EV_WRITE);
@@ -428,6 +533,7 @@
     if (found != nullptr) {
         exchanges.erase(exchange);
         found->current = {};
+        found->progressBytes = 0;
     }
     return found;
 }
@@ -455,6 +561,8 @@
     }
     to.now = phase::reading;
     to.lastUse = ++uses;
+    bufferevent_setwatermark(to.handle, EV_READ, 0, maxUnreadBytes);
+    account(to);
     if (evbuffer_get_length(bufferevent_get_input(to.handle)) > 0) {
         bufferevent_trigger(to.handle, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
     }
@@ -473,6 +581,7 @@
     auto opened = std::make_unique<state>();
     opened->loop = loop;
     opened->limits = limits;
+    opened->budget = connection_budget(limits.heldBytes);
     opened->handler = &handler;
     if (!opened->listen(ip, port)) {
         return fail(result_code::address_unusable, ip + ":" + std::to_string(port));
@@ -480,7 +589,7 @@
     return std::unique_ptr<http_server>(new http_server(std::move(opened)));
 }
 
-void http_server::reply(exchange_id exchange, int status, const http_headers &headers, std::string_view body)
+void http_server::reply(exchange_id exchange, int status, const http_headers &headers, std::string body)
 {
     auto *to = m_state->finish(exchange);
     if (to == nullptr) {
@@ -497,7 +606,7 @@
     }
     m_state->sendHead(*to, std::move(head));
     if (to->hasBody) {
-        append(to->handle, body);
+        appendBody(to->handle, std::move(body));
     }
     m_state->finishAnswer(*to, keepAlive);
 }
@@ -561,6 +670,16 @@
     }
 }
 
+void http_server::setBodyLimit(std::size_t bytes)
+{
+    m_state->limits.bodyBytes = bytes;
+}
+
+const connection_budget &http_server::budget() const
+{
+    return m_state->budget;
+}
+
 void http_server::closeAfterAnswers()
 {
     m_state->isStopping = true;
