Divide the forwarder into one file for each filter

No behaviour changes: admission, placement, answers, retries and the quarantine's verdicts each have a file of their own, so that each further part changes one.

--- /dev/null
+++ b/src/forward/forwarder-admission.cc
@@ -0,0 +1,108 @@
+#include "figcleat/forward/forwarder.h"
+
+#include "forwarder-limits.h"
+
+#include <algorithm>
+
+namespace figcleat::forward
+{
+
+namespace
+{
+
+/** Share of its objective that a request may wait for a target; after a longer wait the answer would be late. */
+constexpr double maxWaitShare = 0.4;
+/** Share of all requests in progress that may be for one service, so that targets which do not answer block others
+ * only for callers of their own service. */
+constexpr double maxServiceShare = 0.75;
+/** The decay of the longest recent answer with each shorter one. */
+constexpr double longestAnswerDecay = 0.98;
+/** Expected time of an answer on a route without any yet, as a share of the route's timeout. */
+constexpr double unknownAnswerShare = 0.25;
+
+} // namespace
+
+std::optional<refusal> forwarder::admit(request_state &state, const caller_request &request)
+{
+    if (!m_routes) {
+        return refusal { result_code::not_configured, false, defaultRetryDelay };
+    }
+    if (m_requests.size() > m_settings.maxRequests) {
+        return refusal { result_code::queue_full, false, defaultRetryDelay };
+    }
+    state.routes = m_routes;
+    state.matchedRoute = m_routes->match(request.host, request.path);
+    if (state.matchedRoute == nullptr) {
+        return refusal { result_code::not_found };
+    }
+    const workspace_keys *keyOwner = request.key ? m_routes->workspaceOf(*request.key) : nullptr;
+    if (keyOwner == nullptr && m_routes->hasWorkspaces() && !state.matchedRoute->isPublic) {
+        return refusal { result_code::wrong_credential };
+    }
+    if (comesTooLate(*state.matchedRoute)) {
+        return refusal { result_code::entry_stopping, false, defaultRetryDelay };
+    }
+    state.priority = state.matchedRoute->priority;
+    if (keyOwner != nullptr) {
+        state.workspace = keyOwner->name;
+        state.priority = keyOwner->priority.value_or(state.priority);
+    }
+    const milliseconds timeout
+        = std::min(state.matchedRoute->timeout, request.deadline.value_or(state.matchedRoute->timeout));
+    state.deadline = std::min(m_now + timeout, m_stopBy.value_or(time_point::max()));
+    const auto wait = maxWaitShare * std::chrono::duration<double>(std::min(timeout, state.matchedRoute->objective));
+    state.waitUntil = m_now + std::chrono::duration_cast<duration>(wait);
+    return std::nullopt;
+}
+
+void forwarder::stopBy(time_point end, time_point now)
+{
+    m_now = now;
+    m_stopBy = end;
+    for (auto &[exchange, state] : m_requests) {
+        state.deadline = std::min(state.deadline, end);
+    }
+}
+
+bool forwarder::comesTooLate(const route &matchedRoute) const
+{
+    if (!m_stopBy) {
+        return false;
+    }
+    const auto longest = m_longestAnswers.find(matchedRoute.name);
+    const duration expected = longest == m_longestAnswers.end()
+        ? std::chrono::duration_cast<duration>(unknownAnswerShare * matchedRoute.timeout)
+        : longest->second;
+    return *m_stopBy - m_now < expected;
+}
+
+void forwarder::recordAnswerTime(const route &matchedRoute, duration time)
+{
+    auto &longest = m_longestAnswers[matchedRoute.name];
+    longest = std::max(time, std::chrono::duration_cast<duration>(longestAnswerDecay * longest));
+}
+
+bool forwarder::isServiceFull(const service_id &service) const
+{
+    const auto count = m_requestCounts.find(service);
+    return count != m_requestCounts.end()
+        && static_cast<double>(count->second) >= maxServiceShare * static_cast<double>(m_settings.maxRequests);
+}
+
+service_id forwarder::pickService(const route &matchedRoute)
+{
+    std::uint64_t total = 0;
+    for (const auto &entry : matchedRoute.split) {
+        total += entry.weight;
+    }
+    auto draw = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(m_random);
+    for (const auto &entry : matchedRoute.split) {
+        if (draw < entry.weight) {
+            return entry.service;
+        }
+        draw -= entry.weight;
+    }
+    return matchedRoute.split.back().service;
+}
+
+} // namespace figcleat::forward
