Draw targets from delayed loads, order scarce room by urgency: switched off

Cause: 41 fronts see the same loads 75 to 110 ms late and send to the same few targets.

Change: forward/stale-load-choice draws targets by what all fronts look for, told in the exchange of loads; forward/waiting-queue takes the place of the list of waiting requests; requests may wait for the end of an outage.

Ruled out: dropping the limit of one prompt at a target (more pauses over 120 ms).

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "figcleat/forward/answer-times.h"
+#include "figcleat/forward/event-rate.h"
 #include "figcleat/forward/event-splitter.h"
+#include "figcleat/forward/outage-estimate.h"
 #include "figcleat/forward/pace-controller.h"
 #include "figcleat/forward/part-quarantine.h"
 #include "figcleat/forward/target-pool.h"
+#include "figcleat/forward/waiting-queue.h"
 #include "figcleat/http/server.h"
 #include "figcleat/request/retry-budget.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -316,6 +319,8 @@
     std::size_t maxBufferedBytes = std::size_t { 32 } * 1024 * 1024;
     /** Requests in progress; those of one service leave a part of them to others. */
     std::size_t maxRequests = 4096;
+    /** Scarce room goes to urgent requests first, over all nodes, and some requests wait for the end of an outage. */
+    bool sharesScarceRoom = false;
     std::uint64_t seed = 1;
     /** This front, as other fronts know it. */
     peer_address self {};
@@ -339,6 +344,10 @@
 
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setNodeCount(std::uint32_t nodes);
+    /** Sets what all other nodes together look for. */
+    void setPeerDemand(std::vector<placement_demand> demand);
+    /** Returns what this node looks for, to be told to the others. */
+    [[nodiscard]] std::vector<placement_demand> ownDemand(time_point now) const;
     /**
      * Prepares a planned stop: every request gets its final answer by `end`, and a new request is refused as not run
      * if its answer would probably take longer.
@@ -414,6 +423,10 @@
         bool isStreaming = false;
         /** The request is queued until a target has capacity. */
         bool isWaiting = false;
+        /** The request waits, or has waited, for the end of an outage of its service. */
+        bool awaitsOutageEnd = false;
+        /** Last time that a target was drawn for the request. */
+        time_point lastDrawAt {};
         /** The last target may have crashed because of this request; a retry waits for evidence of other fronts. */
         std::optional<time_point> retryHeldUntil;
         /** Set if the request is the trial of a quarantine: a part in quarantine. */
@@ -438,7 +451,6 @@
     [[nodiscard]] std::optional<refusal> admit(request_state &state, const caller_request &request);
     /** True if the answer to a request of the route would probably not be complete before a planned stop. */
     [[nodiscard]] bool comesTooLate(const route &matchedRoute) const;
-    void recordAnswerTime(const route &matchedRoute, duration time);
     [[nodiscard]] service_id pickService(const route &matchedRoute);
     /** True if the service has so many requests in progress that another one would leave too little to others. */
     [[nodiscard]] bool isServiceFull(const service_id &service) const;
@@ -448,8 +460,16 @@
     void assignTarget(exchange_id exchange, request_state &state);
     void startAttempt(exchange_id exchange, request_state &state, const directory_entry &target);
     void assignWaitingRequests();
+    void wait(exchange_id exchange, request_state &state);
+    /**
+     * True if the request may wait for the end of an outage of its service: it can still be served then, and targets
+     * will have room for it beside the requests of this node that come before it. Ends the least urgent request that
+     * waits for this if the request takes its place.
+     */
+    [[nodiscard]] bool mayAwaitOutageEnd(request_state &state);
+    [[nodiscard]] competing_requests competitionFor(const request_state &state) const;
     [[nodiscard]] quarantine_verdict reviewPrompt(request_state &state);
-    [[nodiscard]] expected<directory_entry> chooseTarget(const request_state &state, const quarantine_verdict &verdict);
+    [[nodiscard]] expected<directory_entry> chooseTarget(request_state &state, const quarantine_verdict &verdict);
     void rejectQuarantined(exchange_id exchange, request_state &state, const reject_request &rejection);
     /** Checks each request for its deadline, a stalled target and the quarantine. */
     void checkRequests();
@@ -472,7 +492,6 @@
     void switchTarget(exchange_id exchange, request_state &state, std::string reason);
     /** True if a further request would probably reach its `waitUntil` before a target has capacity for it. */
     [[nodiscard]] bool isQueueFull(const request_state &state) const;
-    void recordAttemptStart(const service_id &service);
     void updatePaceControllers();
     [[nodiscard]] choice_limits limitsFor(const request_state &state) const;
     [[nodiscard]] bool mayRunAgain(const request_state &state) const;
@@ -503,20 +522,17 @@
     attempt_number m_lastAttempt;
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
-    std::deque<exchange_id> m_waiting;
+    waiting_queue m_waiting;
     /** Requests in progress of each service. */
     std::map<service_id, std::size_t> m_requestCounts;
     std::size_t m_bufferedBytes = 0;
     std::optional<time_point> m_stopBy;
-    /** Longest recent time to a complete answer; decays with each shorter one. */
-    std::map<route_id, duration> m_longestAnswers;
-    /** Exponentially smoothed rate of started attempts. */
-    struct start_rate
-    {
-        double perSecond = 0;
-        time_point updatedAt {};
-    };
-    std::map<service_id, start_rate> m_startRates;
+    answer_times m_answerTimes;
+    std::map<service_id, event_rate> m_startRates;
+    /** Searches for a target, by service and urgency. */
+    std::map<std::pair<service_id, std::uint32_t>, event_rate> m_demand;
+    std::vector<placement_demand> m_peerDemand;
+    std::map<service_id, outage_estimate> m_outages;
     /** Exponentially smoothed time from the head of an answer to its body, over the last answers. */
     struct head_gap
     {
--- a/include/figcleat/forward/load-exchange.h
+++ b/include/figcleat/forward/load-exchange.h
@@ -11,8 +11,13 @@
 namespace figcleat::forward
 {
 
-/** Sums of the requests of several fronts, by target. */
-using use_sums = std::map<target_id, target_use>;
+/** Sums over several fronts. */
+struct load_sums
+{
+    std::map<target_id, target_use> uses;
+    /** By service and urgency. */
+    std::map<std::pair<service_id, std::uint32_t>, double> demand;
+};
 
 struct load_message
 {
@@ -53,10 +58,13 @@
     /** Sets the known fronts, which may include this one. */
     void setFronts(const std::vector<front_contact> &fronts);
     void receive(const peer_address &from, const node_load &load, time_point now);
-    /** Returns the messages to send now; empty if none are due. */
-    [[nodiscard]] std::vector<load_message> takeDueMessages(const std::vector<target_use> &own, time_point now);
+    /** Returns the messages to send now; empty if none are due. A change of demand alone is no reason to send one. */
+    [[nodiscard]] std::vector<load_message> takeDueMessages(const std::vector<target_use> &own, time_point now,
+                                                            const std::vector<placement_demand> &demand = {});
     /** Returns the requests of all other fronts at each target; `nullopt` if no recent message gives them. */
     [[nodiscard]] std::optional<std::vector<target_use>> peerLoads(time_point now) const;
+    /** Returns what all other fronts together look for; empty if it is not known. */
+    [[nodiscard]] std::vector<placement_demand> peerDemand(time_point now) const;
     /** True if the result of `peerLoads` may have changed since the previous call. */
     [[nodiscard]] bool takePeerLoadsChanged(time_point now);
     /** True if fronts exchange load without a relay, so that known loads are only a few milliseconds old. */
@@ -95,10 +103,12 @@
     [[nodiscard]] duration period() const;
     /** Returns the fronts that receive the sums of a relay of another data centre. */
     [[nodiscard]] std::set<peer_address> relaysOfOthers(time_point now) const;
-    [[nodiscard]] std::vector<load_message> directMessages(const std::vector<target_use> &own) const;
-    [[nodiscard]] std::vector<load_message> relayMessages(const std::vector<target_use> &own, time_point now) const;
+    [[nodiscard]] std::vector<load_message> directMessages(const node_load &own) const;
+    [[nodiscard]] std::vector<load_message> relayMessages(const node_load &own, time_point now) const;
     /** Adds the received loads of one scope. */
-    void addReceived(use_sums &sums, load_scope scope) const;
+    void addReceived(load_sums &sums, load_scope scope) const;
+    /** Load of all other fronts; `nullopt` if no recent message gives it. */
+    [[nodiscard]] std::optional<node_load> peers(time_point now) const;
     void removeExpired(time_point now);
 
     peer_address m_self;
--- a/include/figcleat/forward/node-messages.h
+++ b/include/figcleat/forward/node-messages.h
@@ -135,6 +135,19 @@
     MSGPACK_DEFINE(target, requests, prompts)
 };
 
+/** How often a node looks for a target for requests of one service and urgency, or several nodes together. */
+struct placement_demand
+{
+    service_id service {};
+    /** 0 is the most urgent. */
+    std::uint32_t urgency = 0;
+    /** Requests that arrive, and further tries for those that wait. */
+    float perSecond = 0;
+
+    bool operator==(const placement_demand &) const = default;
+    MSGPACK_DEFINE(service, urgency, perSecond)
+};
+
 /** The fronts whose load a message holds. */
 enum class load_scope : std::uint8_t {
     /** Load of the sender alone. */
@@ -150,8 +163,9 @@
 {
     load_scope scope = load_scope::node;
     std::vector<target_use> uses;
+    std::vector<placement_demand> demand {};
 
-    MSGPACK_DEFINE(scope, uses)
+    MSGPACK_DEFINE(scope, uses, demand)
 };
 
 /** Asks the leader to renew a controller's control of a group and reports the impaired engines of that group. */
--- a/include/figcleat/forward/target-pool.h
+++ b/include/figcleat/forward/target-pool.h
@@ -2,6 +2,7 @@
 
 #include "figcleat/forward/node-messages.h"
 #include "figcleat/forward/route-table.h"
+#include "figcleat/forward/stale-load-choice.h"
 #include "figcleat/forward/target-directory.h"
 
 #include <map>
@@ -77,6 +78,8 @@
     std::uint32_t maxPrefillsPerTarget = 1;
     /** Share of the fleet-wide limits that the nodes use together; the remainder covers nodes not counted yet. */
     double limitShare = 0.8;
+    /** Draws targets from loads that come through relays instead of choosing among the least loaded ones. */
+    bool drawsFromDelayedLoads = false;
     std::uint64_t seed = 1;
 };
 
@@ -87,6 +90,8 @@
     double requestLimit = 0;
     /** The request needs a prefill, which delays the streams in progress at the target. */
     bool readsPrompt = false;
+    /** Requests of all nodes while loads are on their way; used if loads are delayed. */
+    competing_requests competition {};
 };
 
 /** Load of the usable targets of a service, as known to this node. */
@@ -149,8 +154,7 @@
     /**
      * Sets the requests of all other nodes at each target; `nullopt` if they are unknown.
      *
-     * @param isDelayed other nodes may have selected targets since the loads were reported, so loads that differ by up
-     * to one request count as equal
+     * @param isDelayed loads come through relays, so that other nodes have selected targets since they were reported
      */
     void setPeerLoads(const std::optional<std::vector<target_use>> &uses, bool isDelayed);
     /** Returns the requests of this node at each target that has any. */
@@ -184,6 +188,10 @@
      * if any such target is not in backoff or if no such target exists.
      */
     [[nodiscard]] std::optional<time_point> earliestBackoffEnd(const service_id &service, time_point now) const;
+    /** True if targets of the service are open, and all of them are known to be in a broken group. */
+    [[nodiscard]] bool isInterrupted(const service_id &service, time_point now) const;
+    /** True if targets are drawn from delayed loads. */
+    [[nodiscard]] bool drawsTargets() const;
     /** Counts the targets of the service that sent data of an answer within `window`. */
     [[nodiscard]] std::size_t countActive(const service_id &service, duration window, time_point now) const;
     /** Returns the sum of requests (in `running`) and slots over the open targets of the service. */
@@ -239,11 +247,16 @@
     struct candidate
     {
         const directory_entry *entry = nullptr;
-        double score = 0;
+        const target_record *record = nullptr;
     };
 
-    /** Returns a random candidate among those within the load tolerance of the lowest score. */
-    [[nodiscard]] const directory_entry *pickCandidate(std::vector<candidate> &candidates);
+    /** Returns one of the candidates within the load tolerance of the lowest score; null if there are none. */
+    [[nodiscard]] const directory_entry *pickLeastLoaded(const std::vector<candidate> &candidates, time_point now);
+    /** Draws a candidate so that nodes with the same outdated loads spread their requests; null if the request waits.
+     */
+    [[nodiscard]] const directory_entry *drawCandidate(const std::vector<candidate> &candidates,
+                                                       const choice_limits &limits);
+    [[nodiscard]] bool isRemote(const directory_entry &entry) const;
     /** True if the target is open, in no backoff, not blocked and not in a group known to be broken. */
     [[nodiscard]] bool isUsable(const directory_entry &entry, const target_record &record, time_point now) const;
     /** True if a list of engine conditions was received recently. */
@@ -256,6 +269,9 @@
     [[nodiscard]] incarnation_notices *halfOpenNoticesFor(const started_attempt &attempt);
     /** Requests of all nodes at the target; those of other nodes are an estimate. */
     [[nodiscard]] double load(const target_record &record, time_point now) const;
+    /** False while the target gets no more than the requests that it has, whatever its load. */
+    [[nodiscard]] bool isAdmitting(const directory_entry &entry, const target_record &record) const;
+    [[nodiscard]] double maxRequests(const directory_entry &entry, const choice_limits &limits) const;
     [[nodiscard]] bool hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
                                time_point now) const;
     /** True if the target runs the maximum number of prefills. */
@@ -278,6 +294,8 @@
     std::unordered_map<target_id, target_record> m_records;
     std::mt19937_64 m_random;
     bool m_hasPeerLoads = false;
+    /** Loads of other nodes come through relays. */
+    bool m_hasDelayedLoads = false;
     /** Loads that differ by up to this many requests count as equal. */
     double m_loadTolerance = 0;
 };
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -513,7 +513,7 @@
 
 void front_node::shareLoad()
 {
-    for (auto &message : m_loads.takeDueMessages(m_forwarder.pool().ownLoads(), now())) {
+    for (auto &message : m_loads.takeDueMessages(m_forwarder.pool().ownLoads(), now(), m_forwarder.ownDemand(now()))) {
         m_messenger->send(message.to, std::move(message.load));
     }
 }
@@ -586,6 +586,7 @@
 {
     if (m_loads.takePeerLoadsChanged(now())) {
         m_forwarder.pool().setPeerLoads(m_loads.peerLoads(now()), !m_loads.isDirect());
+        m_forwarder.setPeerDemand(m_loads.peerDemand(now()));
     }
     for (auto &action : m_forwarder.step(event, now())) {
         std::visit([this](auto &what) { carryOut(what); }, action);
--- a/src/forward/forwarder-admission.cc
+++ b/src/forward/forwarder-admission.cc
@@ -15,8 +15,6 @@
 /** Share of all requests in progress that may be for one service, so that targets which do not answer block others
  * only for callers of their own service. */
 constexpr double maxServiceShare = 0.75;
-/** The decay of the longest recent answer with each shorter one. */
-constexpr double longestAnswerDecay = 0.98;
 /** Expected time of an answer on a route without any yet, as a share of the route's timeout. */
 constexpr double unknownAnswerShare = 0.25;
 
@@ -69,19 +67,12 @@
     if (!m_stopBy) {
         return false;
     }
-    const auto longest = m_longestAnswers.find(matchedRoute.name);
-    const duration expected = longest == m_longestAnswers.end()
-        ? std::chrono::duration_cast<duration>(unknownAnswerShare * matchedRoute.timeout)
-        : longest->second;
+    const duration expected
+        = m_answerTimes.longest(matchedRoute.name)
+              .value_or(std::chrono::duration_cast<duration>(unknownAnswerShare * matchedRoute.timeout));
     return *m_stopBy - m_now < expected;
 }
 
-void forwarder::recordAnswerTime(const route &matchedRoute, duration time)
-{
-    auto &longest = m_longestAnswers[matchedRoute.name];
-    longest = std::max(time, std::chrono::duration_cast<duration>(longestAnswerDecay * longest));
-}
-
 bool forwarder::isServiceFull(const service_id &service) const
 {
     const auto count = m_requestCounts.find(service);
--- a/src/forward/forwarder-placement.cc
+++ b/src/forward/forwarder-placement.cc
@@ -4,7 +4,6 @@
 #include "forwarder-limits.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace figcleat::forward
 {
@@ -12,8 +11,12 @@
 namespace
 {
 
-/** Time constant, in seconds, of the smoothed rate of attempts. */
-constexpr double rateTimeConstant = 1.0;
+/** Loads of other nodes come through two relays, each of which collects them for up to 40 ms. */
+constexpr duration peerLoadAge = std::chrono::milliseconds(100);
+/** Waiting requests look for a target this often if loads are delayed; more often would find the same loads. */
+constexpr duration redrawPeriod = std::chrono::milliseconds(20);
+/** Short, so that other nodes learn of a burst while it begins. */
+constexpr duration demandWindow = std::chrono::milliseconds(300);
 /** Queue length that is always allowed, so that a node with few requests can queue at all. */
 constexpr double minQueueLength = 1;
 
@@ -41,19 +44,55 @@
     // Without a target the stream in progress breaks, so the request waits if a backoff ends soon enough.
     const bool canAwaitBackoffEnd = state.isStreaming
         && m_pool.earliestBackoffEnd(state.service, m_now).value_or(time_point::max()) < state.waitUntil;
+    // Requests that may have caused the outage do not wait for its end.
+    if (m_settings.sharesScarceRoom && std::holds_alternative<admit_request>(verdict) && mayAwaitOutageEnd(state)) {
+        wait(exchange, state);
+        return;
+    }
     const bool cannotWait = !canAwaitBackoffEnd
         && (m_pool.hasNoUsableTarget(state.service, {}, m_now) || (!state.isWaiting && isQueueFull(state)));
     if (m_now >= state.waitUntil || cannotWait) {
         failRequest(exchange, state, target.error().code);
         return;
     }
+    wait(exchange, state);
+}
+
+void forwarder::wait(exchange_id exchange, request_state &state)
+{
     state.isWaiting = true;
-    m_waiting.push_back(exchange);
+    const std::uint32_t urgency = m_settings.sharesScarceRoom ? state.priority : 0;
+    m_waiting.add({ exchange, state.service, urgency, state.awaitsOutageEnd });
 }
 
-expected<directory_entry> forwarder::chooseTarget(const request_state &state, const quarantine_verdict &verdict)
+bool forwarder::mayAwaitOutageEnd(request_state &state)
+{
+    const bool isUntouched = state.executionCount == 0 && !state.isStreaming && !state.fallbackAnswer;
+    auto &outage = m_outages[state.service];
+    outage.update(m_pool.isInterrupted(state.service, m_now), m_now);
+    const auto usual = m_answerTimes.usual(state.matchedRoute->name);
+    if (!isUntouched || !outage.isInterrupted() || !usual
+        || m_now + outage_estimate::minRemaining + *usual > state.deadline) {
+        return false;
+    }
+    const std::size_t places = m_pool.totalLoad(state.service, m_now).slots / m_nodes;
+    if (!state.isWaiting && m_waiting.size(state.service) >= places) {
+        const auto last = m_waiting.last(state.service);
+        if (!last || last->urgency <= state.priority) {
+            return false;
+        }
+        failRequest(last->exchange, m_requests.at(last->exchange), result_code::no_target);
+    }
+    state.waitUntil = std::max(state.waitUntil, state.deadline - *usual);
+    state.awaitsOutageEnd = true;
+    return true;
+}
+
+expected<directory_entry> forwarder::chooseTarget(request_state &state, const quarantine_verdict &verdict)
 {
     const auto limits = limitsFor(state);
+    state.lastDrawAt = m_now;
+    m_demand.try_emplace({ state.service, state.priority }, demandWindow).first->second.record(m_now);
     const auto confined = [&](const prompt_part_id &part) {
         return m_pool.chooseConfined(state.service, part, state.triedTargets, limits, m_now);
     };
@@ -81,7 +120,8 @@
     state.triedTargets.insert(target.latest.target);
     state.attemptCount += 1;
     state.isWaiting = false;
-    recordAttemptStart(state.service);
+    m_waiting.remove(exchange);
+    m_startRates[state.service].record(m_now);
     state.firstAttemptAt = state.firstAttemptAt.value_or(m_now);
     attempt_state attempt;
     attempt.exchange = exchange;
@@ -102,44 +142,65 @@
     m_actions.emplace_back(start_attempt { m_lastAttempt, std::move(call) });
 }
 
-void forwarder::recordAttemptStart(const service_id &service)
-{
-    auto &rate = m_startRates[service];
-    const double age = std::chrono::duration<double>(m_now - rate.updatedAt).count() / rateTimeConstant;
-    rate.perSecond = rate.perSecond * std::exp(-std::max(0.0, age)) + 1 / rateTimeConstant;
-    rate.updatedAt = m_now;
-}
-
 bool forwarder::isQueueFull(const request_state &state) const
 {
     const auto waiting
-        = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](exchange_id exchange) {
-              const auto other = m_requests.find(exchange);
-              return other != m_requests.end() && other->second.service == state.service;
-          }));
+        = static_cast<double>(m_waiting.countAhead(state.service, m_settings.sharesScarceRoom ? state.priority : 0));
     const auto rate = m_startRates.find(state.service);
-    const double perSecond = rate == m_startRates.end() ? 0 : rate->second.perSecond;
+    // A service that stands still for a moment goes on at the rate that it had.
+    const double perSecond = rate == m_startRates.end() ? 0 : rate->second.lastPerSecond();
     const double remainingSeconds = std::chrono::duration<double>(state.waitUntil - m_now).count();
     return waiting >= std::max(minQueueLength, perSecond * remainingSeconds);
 }
 
 choice_limits forwarder::limitsFor(const request_state &state) const
 {
+    const auto competition = competitionFor(state);
     if (state.matchedRoute->kind != route_kind::stream) {
-        return {};
+        return { .competition = competition };
     }
     const auto pace = m_paceControllers.find(state.service);
-    return { pace == m_paceControllers.end() ? 0 : pace->second.requestLimit(), true };
+    return { pace == m_paceControllers.end() ? 0 : pace->second.requestLimit(), true, competition };
 }
 
-std::vector<service_load> forwarder::loadSummary(time_point now) const
+competing_requests forwarder::competitionFor(const request_state &state) const
 {
-    std::map<service_id, std::size_t> waiting;
-    for (const auto exchange : m_waiting) {
-        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
-            ++waiting[found->second.service];
+    const double seconds = std::chrono::duration<double>(peerLoadAge).count();
+    competing_requests all;
+    for (const auto &one : m_peerDemand) {
+        if (one.service != state.service) {
+            continue;
         }
+        const double count = one.perSecond * seconds;
+        (one.urgency < state.priority ? all.moreUrgent
+                                      : (one.urgency == state.priority ? all.equallyUrgent : all.lessUrgent))
+            += count;
     }
+    if (const auto rate = m_startRates.find(state.service); rate != m_startRates.end()) {
+        all.placedByPeers = rate->second.perSecond(m_now) * (m_nodes - 1) * seconds;
+    }
+    return all;
+}
+
+void forwarder::setPeerDemand(std::vector<placement_demand> demand)
+{
+    m_peerDemand = std::move(demand);
+}
+
+std::vector<placement_demand> forwarder::ownDemand(time_point now) const
+{
+    std::vector<placement_demand> all;
+    if (!m_settings.sharesScarceRoom) {
+        return all;
+    }
+    for (const auto &[key, rate] : m_demand) {
+        all.push_back({ key.first, key.second, static_cast<float>(rate.perSecond(now)) });
+    }
+    return all;
+}
+
+std::vector<service_load> forwarder::loadSummary(time_point now) const
+{
     std::vector<service_load> loads;
     for (const auto &[service, budget] : m_budgets) {
         const auto [maxTargetRequests, slots] = m_pool.maxLoadAndSlots(service, now);
@@ -150,8 +211,8 @@
             load.requestLimit = pace->second.requestLimit();
             load.pauseRatio = pace->second.lastPauseRatio();
         }
-        load.spread = m_pool.loadSpread(service, { load.requestLimit, true }, now);
-        load.waiting = waiting[service];
+        load.spread = m_pool.loadSpread(service, { .requestLimit = load.requestLimit, .readsPrompt = true }, now);
+        load.waiting = m_waiting.size(service);
         const auto retries = m_retries.find(service);
         load.retries = retries == m_retries.end() ? 0 : retries->second;
         load.retriesLeft = budget.left(now);
@@ -172,12 +233,13 @@
 
 void forwarder::assignWaitingRequests()
 {
-    const std::size_t count = m_waiting.size();
-    for (std::size_t i = 0; i < count; ++i) {
-        const exchange_id exchange = m_waiting.front();
-        m_waiting.pop_front();
+    for (const exchange_id exchange : m_waiting.inOrder()) {
         const auto found = m_requests.find(exchange);
-        if (found != m_requests.end() && found->second.currentAttempt == attempt_number {}) {
+        if (found == m_requests.end() || found->second.currentAttempt != attempt_number {}) {
+            continue;
+        }
+        const bool mayDraw = !m_pool.drawsTargets() || m_now - found->second.lastDrawAt >= redrawPeriod;
+        if (mayDraw || m_now >= found->second.waitUntil) {
             assignTarget(exchange, found->second);
         }
     }
--- a/src/forward/forwarder-quarantine.cc
+++ b/src/forward/forwarder-quarantine.cc
@@ -58,8 +58,7 @@
     const auto &parts = state.request->sharedParts;
     const bool isSuspect = m_quarantine.isSuspect(parts);
     if (isSuspect && !m_quarantine.isRejected(parts) && m_now < *state.retryHeldUntil) {
-        state.isWaiting = true;
-        m_waiting.push_back(exchange);
+        wait(exchange, state);
         return true;
     }
     state.retryHeldUntil.reset();
--- a/src/forward/forwarder-retries.cc
+++ b/src/forward/forwarder-retries.cc
@@ -61,8 +61,7 @@
     if (mayRetry && state.retryHeldUntil) {
         recordFailedAttempt(state, failure, "held");
         state.waitUntil = std::max(state.waitUntil, *state.retryHeldUntil + minRetryWait);
-        state.isWaiting = true;
-        m_waiting.push_back(exchange);
+        wait(exchange, state);
         return;
     }
     if (mayRetry && takeRetry(state.service)) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -51,7 +51,7 @@
 {
     m_routes = std::move(routes);
     m_pool.setRoutes(m_routes);
-    m_longestAnswers.clear();
+    m_answerTimes.clear();
 }
 
 void forwarder::setNodeCount(std::uint32_t nodes)
@@ -269,11 +269,12 @@
             || (state.isStreaming && state.matchedRoute->maxGap.count() > 0
                 && ended.longestPause > state.matchedRoute->maxGap));
     if (code == result_code::ok) {
-        recordAnswerTime(*state.matchedRoute, ended.totalTime);
+        m_answerTimes.record(state.matchedRoute->name, ended.totalTime, ended.totalTime - ended.queueTime);
     }
     ended.configurationVersion = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
     m_bufferedBytes -= state.bufferedBytes;
+    m_waiting.remove(exchange);
     if (const auto count = m_requestCounts.find(state.service); count != m_requestCounts.end()) {
         count->second -= std::min<std::size_t>(1, count->second);
     }
--- a/src/forward/load-exchange.cc
+++ b/src/forward/load-exchange.cc
@@ -8,34 +8,48 @@
 namespace
 {
 
-void add(use_sums &sums, const std::vector<target_use> &uses)
+/** Less demand than this does not change any decision. */
+constexpr double minDemandPerSecond = 0.5;
+
+void add(load_sums &sums, const node_load &load)
 {
-    for (const auto &use : uses) {
-        auto &sum = sums[use.target];
+    for (const auto &use : load.uses) {
+        auto &sum = sums.uses[use.target];
         sum.target = use.target;
         sum.requests += use.requests;
         sum.prompts += use.prompts;
     }
+    for (const auto &one : load.demand) {
+        sums.demand[{ one.service, one.urgency }] += one.perSecond;
+    }
 }
 
-void subtract(use_sums &sums, const std::vector<target_use> &uses)
+void subtract(load_sums &sums, const node_load &load)
 {
-    for (const auto &use : uses) {
-        auto &sum = sums[use.target];
+    for (const auto &use : load.uses) {
+        auto &sum = sums.uses[use.target];
         sum.requests -= std::min(sum.requests, use.requests);
         sum.prompts -= std::min(sum.prompts, use.prompts);
     }
+    for (const auto &one : load.demand) {
+        sums.demand[{ one.service, one.urgency }] -= one.perSecond;
+    }
 }
 
-std::vector<target_use> nonZeroUses(const use_sums &sums)
+node_load toLoad(load_scope scope, const load_sums &sums)
 {
-    std::vector<target_use> uses;
-    for (const auto &[target, use] : sums) {
+    node_load load { scope, {} };
+    for (const auto &[target, use] : sums.uses) {
         if (use.requests > 0) {
-            uses.push_back(use);
+            load.uses.push_back(use);
         }
     }
-    return uses;
+    for (const auto &[key, perSecond] : sums.demand) {
+        if (perSecond >= minDemandPerSecond) {
+            load.demand.push_back({ key.first, key.second, static_cast<float>(perSecond) });
+        }
+    }
+    return load;
 }
 
 } // namespace
@@ -133,7 +147,8 @@
     m_peerLoadsChanged = m_peerLoadsChanged || removed > 0;
 }
 
-std::vector<load_message> load_exchange::takeDueMessages(const std::vector<target_use> &own, time_point now)
+std::vector<load_message> load_exchange::takeDueMessages(const std::vector<target_use> &own, time_point now,
+                                                         const std::vector<placement_demand> &demand)
 {
     removeExpired(now);
     const duration sinceLast = now - m_lastSentAt;
@@ -143,12 +158,13 @@
         return {};
     }
     std::vector<load_message> messages;
+    const node_load load { load_scope::node, own, demand };
     if (isDirect()) {
-        messages = directMessages(own);
+        messages = directMessages(load);
     } else if (isRelay(now)) {
-        messages = relayMessages(own, now);
+        messages = relayMessages(load, now);
     } else {
-        messages.push_back({ relayOf(m_dataCentre, now), { load_scope::node, own } });
+        messages.push_back({ relayOf(m_dataCentre, now), load });
     }
     for (const auto &message : messages) {
         auto &contact = m_contacts[message.to];
@@ -160,28 +176,28 @@
     return messages;
 }
 
-std::vector<load_message> load_exchange::directMessages(const std::vector<target_use> &own) const
+std::vector<load_message> load_exchange::directMessages(const node_load &own) const
 {
     std::vector<load_message> messages;
     for (const auto &[dataCentre, members] : m_frontsByDataCentre) {
         for (const auto &front : members) {
             if (front != m_self) {
-                messages.push_back({ front, { load_scope::node, own } });
+                messages.push_back({ front, own });
             }
         }
     }
     return messages;
 }
 
-std::vector<load_message> load_exchange::relayMessages(const std::vector<target_use> &own, time_point now) const
+std::vector<load_message> load_exchange::relayMessages(const node_load &own, time_point now) const
 {
     std::vector<load_message> messages;
-    use_sums all;
+    load_sums all;
     addReceived(all, load_scope::node);
     add(all, own);
-    const auto dataCentreLoad = nonZeroUses(all);
+    const auto dataCentreLoad = toLoad(load_scope::data_centre, all);
     for (const auto &front : relaysOfOthers(now)) {
-        messages.push_back({ front, { load_scope::data_centre, dataCentreLoad } });
+        messages.push_back({ front, dataCentreLoad });
     }
     addReceived(all, load_scope::data_centre);
     const auto members = m_frontsByDataCentre.find(m_dataCentre);
@@ -192,12 +208,12 @@
         if (front == m_self) {
             continue;
         }
-        use_sums others = all;
+        load_sums others = all;
         const auto received = m_received.find(front);
         if (received != m_received.end() && received->second.load.scope == load_scope::node) {
-            subtract(others, received->second.load.uses);
+            subtract(others, received->second.load);
         }
-        messages.push_back({ front, { load_scope::others, nonZeroUses(others) } });
+        messages.push_back({ front, toLoad(load_scope::others, others) });
     }
     return messages;
 }
@@ -232,24 +248,24 @@
     return all;
 }
 
-void load_exchange::addReceived(use_sums &sums, load_scope scope) const
+void load_exchange::addReceived(load_sums &sums, load_scope scope) const
 {
     for (const auto &[from, received] : m_received) {
         if (received.load.scope == scope) {
-            add(sums, received.load.uses);
+            add(sums, received.load);
         }
     }
 }
 
-std::optional<std::vector<target_use>> load_exchange::peerLoads(time_point now) const
+std::optional<node_load> load_exchange::peers(time_point now) const
 {
     if (isDirect() || isRelay(now)) {
-        use_sums sums;
+        load_sums sums;
         addReceived(sums, load_scope::node);
         if (!isDirect()) {
             addReceived(sums, load_scope::data_centre);
         }
-        return m_received.empty() ? std::nullopt : std::optional(nonZeroUses(sums));
+        return m_received.empty() ? std::nullopt : std::optional(toLoad(load_scope::others, sums));
     }
     const received_load *latest = nullptr;
     for (const auto &[from, received] : m_received) {
@@ -258,7 +274,19 @@
             latest = &received;
         }
     }
-    return latest == nullptr ? std::nullopt : std::optional(latest->load.uses);
+    return latest == nullptr ? std::nullopt : std::optional(latest->load);
+}
+
+std::optional<std::vector<target_use>> load_exchange::peerLoads(time_point now) const
+{
+    auto load = peers(now);
+    return load ? std::optional(std::move(load->uses)) : std::nullopt;
+}
+
+std::vector<placement_demand> load_exchange::peerDemand(time_point now) const
+{
+    auto load = peers(now);
+    return load ? std::move(load->demand) : std::vector<placement_demand> {};
 }
 
 bool load_exchange::takePeerLoadsChanged(time_point now)
--- a/src/forward/target-pool.cc
+++ b/src/forward/target-pool.cc
@@ -125,8 +125,7 @@
     return record.inFlight + others;
 }
 
-bool target_pool::hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
-                          time_point now) const
+bool target_pool::isAdmitting(const directory_entry &entry, const target_record &record) const
 {
     // A target is half open after a block: it receives one request at a time until one is answered.
     if (record.failuresInRow >= failuresToBlock && record.inFlight > 0) {
@@ -143,7 +142,14 @@
             return false;
         }
     }
-    return !(limits.readsPrompt && isAtPromptLimit(record)) && isBelowRequestLimit(entry, record, limits, now);
+    return true;
+}
+
+bool target_pool::hasRoom(const directory_entry &entry, const target_record &record, const choice_limits &limits,
+                          time_point now) const
+{
+    return isAdmitting(entry, record) && !(limits.readsPrompt && isAtPromptLimit(record))
+        && isBelowRequestLimit(entry, record, limits, now);
 }
 
 bool target_pool::isAtPromptLimit(const target_record &record) const
@@ -154,16 +160,19 @@
 bool target_pool::isBelowRequestLimit(const directory_entry &entry, const target_record &record,
                                       const choice_limits &limits, time_point now) const
 {
-    const double maxRequests
-        = limits.requestLimit > 0 ? limits.requestLimit : entry.latest.slots + m_settings.waitingPerTarget;
-    return load(record, now) + 1 <= maxRequests;
+    return load(record, now) + 1 <= maxRequests(entry, limits);
+}
+
+double target_pool::maxRequests(const directory_entry &entry, const choice_limits &limits) const
+{
+    return limits.requestLimit > 0 ? limits.requestLimit : entry.latest.slots + m_settings.waitingPerTarget;
 }
 
 double target_pool::score(const directory_entry &entry, const target_record &record, time_point now) const
 {
     const double slots = std::max<std::uint32_t>(1, entry.latest.slots);
     // Loads of other data centres arrive later, so the penalty exceeds differences within the load tolerance.
-    const double remote = entry.latest.dataCentre == m_settings.dataCentre ? 0.0 : remotePenalty + 2 * m_loadTolerance;
+    const double remote = isRemote(entry) ? remotePenalty + 2 * m_loadTolerance : 0;
     return (load(record, now) + remote) / slots + record.failureShare * failurePenaltySlots;
 }
 
@@ -210,14 +219,17 @@
             continue;
         }
         hasUsableTarget = true;
-        if (hasRoom(entry, record, limits, now) && refillColdTokens(entry, record, now)) {
-            candidates.push_back({ &entry, score(entry, record, now) });
+        const bool mayTake = drawsTargets() ? isAdmitting(entry, record) : hasRoom(entry, record, limits, now);
+        if (mayTake && refillColdTokens(entry, record, now)) {
+            candidates.push_back({ &entry, &record });
         }
     }
-    if (candidates.empty()) {
+    const directory_entry *chosen
+        = drawsTargets() ? drawCandidate(candidates, limits) : pickLeastLoaded(candidates, now);
+    if (chosen == nullptr) {
         return fail(hasUsableTarget ? result_code::target_at_limit : result_code::no_target, service.value);
     }
-    return *pickCandidate(candidates);
+    return *chosen;
 }
 
 bool target_pool::isUsable(const directory_entry &entry, const target_record &record, time_point now) const
@@ -250,14 +262,63 @@
     return fail(ranked.empty() ? result_code::no_target : result_code::target_at_limit, service.value);
 }
 
-const directory_entry *target_pool::pickCandidate(std::vector<candidate> &candidates)
+bool target_pool::isRemote(const directory_entry &entry) const
 {
-    const auto best = std::min_element(candidates.begin(), candidates.end(),
-                                       [](const auto &a, const auto &b) { return a.score < b.score; });
-    const double slots = std::max<std::uint32_t>(1, best->entry->latest.slots);
-    const double maxScore = best->score + m_loadTolerance / slots;
-    std::erase_if(candidates, [maxScore](const auto &item) { return item.score > maxScore; });
-    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)].entry;
+    return entry.latest.dataCentre != m_settings.dataCentre;
+}
+
+const directory_entry *target_pool::pickLeastLoaded(const std::vector<candidate> &candidates, time_point now)
+{
+    if (candidates.empty()) {
+        return nullptr;
+    }
+    std::vector<double> scores;
+    scores.reserve(candidates.size());
+    for (const auto &one : candidates) {
+        scores.push_back(score(*one.entry, *one.record, now));
+    }
+    const auto lowest = std::min_element(scores.begin(), scores.end());
+    const auto slotsOfBest = candidates[static_cast<std::size_t>(lowest - scores.begin())].entry->latest.slots;
+    const double maxScore = *lowest + m_loadTolerance / std::max<std::uint32_t>(1, slotsOfBest);
+    std::vector<const directory_entry *> best;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (scores[i] <= maxScore) {
+            best.push_back(candidates[i].entry);
+        }
+    }
+    return best[std::uniform_int_distribution<std::size_t>(0, best.size() - 1)(m_random)];
+}
+
+const directory_entry *target_pool::drawCandidate(const std::vector<candidate> &candidates, const choice_limits &limits)
+{
+    double peerRequests = 0;
+    double peerPrompts = 0;
+    for (const auto &one : candidates) {
+        peerRequests += one.record->peerRequests;
+        peerPrompts += one.record->peerPrompts;
+    }
+    // About as many requests and prompts of other nodes have ended since the loads were reported as have started.
+    const auto remainingShare = [&limits](double reported) {
+        return reported > 0 ? 1 - std::min(1.0, limits.competition.placedByPeers / reported) : 1;
+    };
+    const double running = remainingShare(peerRequests);
+    const double reading = remainingShare(peerPrompts);
+    std::vector<reported_load> loads;
+    loads.reserve(candidates.size());
+    for (const auto &one : candidates) {
+        const double slots = std::max<std::uint32_t>(1, one.entry->latest.slots);
+        const double expected = one.record->inFlight + running * one.record->peerRequests;
+        double room = maxRequests(*one.entry, limits) - expected;
+        if (limits.readsPrompt) {
+            const double prompts = one.record->prompts + reading * one.record->peerPrompts;
+            room = std::min(room, m_settings.maxPrefillsPerTarget - prompts);
+        }
+        const double penalty
+            = (isRemote(*one.entry) ? remotePenalty : 0) + slots * failurePenaltySlots * one.record->failureShare;
+        loads.push_back({ expected + penalty, slots, room });
+    }
+    const auto drawn = drawTarget(loads, limits.competition, m_random);
+    return drawn ? candidates[*drawn].entry : nullptr;
 }
 
 void target_pool::onStarted(const target_incarnation &incarnation, bool readsPrompt)
@@ -278,7 +339,8 @@
 void target_pool::setPeerLoads(const std::optional<std::vector<target_use>> &uses, bool isDelayed)
 {
     m_hasPeerLoads = uses.has_value();
-    m_loadTolerance = isDelayed ? delayedLoadTolerance : 0;
+    m_hasDelayedLoads = isDelayed && uses.has_value();
+    m_loadTolerance = isDelayed && !m_settings.drawsFromDelayedLoads ? delayedLoadTolerance : 0;
     for (auto &[id, record] : m_records) {
         record.peerRequests = 0;
         record.peerPrompts = 0;
@@ -438,6 +500,26 @@
     });
 }
 
+bool target_pool::isInterrupted(const service_id &service, time_point now) const
+{
+    bool hasOpenTarget = false;
+    for (const auto &[id, entry] : m_directory->entries()) {
+        if (entry.latest.service == service && isOpen(entry)) {
+            const auto record = m_records.find(id);
+            if (record == m_records.end() || !record->second.isGroupBroken) {
+                return false;
+            }
+            hasOpenTarget = true;
+        }
+    }
+    return hasOpenTarget && hasCurrentEngines(now);
+}
+
+bool target_pool::drawsTargets() const
+{
+    return m_hasDelayedLoads && m_settings.drawsFromDelayedLoads;
+}
+
 std::optional<time_point> target_pool::earliestBackoffEnd(const service_id &service, time_point now) const
 {
     std::optional<time_point> first;
--- a/test/front-fleet-test.cc
+++ b/test/front-fleet-test.cc
@@ -54,7 +54,7 @@
 class fleet
 {
 public:
-    fleet(double arrivalsPerSecond, double level, int promptSteps = shortPromptSteps)
+    fleet(double arrivalsPerSecond, double level, int promptSteps = shortPromptSteps, bool sharesScarceRoom = false)
         : m_level(level)
         , m_promptSteps(promptSteps)
         , m_arrivals(arrivalsPerSecond * std::chrono::duration<double>(timeStep).count() / fronts)
@@ -75,6 +75,8 @@
             settings.pool.seed = i + 1;
             settings.seed = i + 1;
             settings.retrySlack = 100;
+            settings.sharesScarceRoom = sharesScarceRoom;
+            settings.pool.drawsFromDelayedLoads = sharesScarceRoom;
             auto &front = m_fronts.emplace_back(std::make_unique<forwarder>(settings));
             front->pool().setDirectory(&m_directory);
             front->setNodeCount(fronts);
@@ -146,7 +148,11 @@
     {
         std::map<target_id, target_use> sums;
         std::vector<std::vector<target_use>> own;
+        float searches = 0;
         for (const auto &front : m_fronts) {
+            for (const auto &demand : front->ownDemand(m_now)) {
+                searches += demand.perSecond;
+            }
             own.push_back(front->pool().ownLoads());
             for (const auto &use : own.back()) {
                 auto &sum = sums[use.target];
@@ -155,11 +161,11 @@
                 sum.prompts += use.prompts;
             }
         }
-        m_history.push_back({ std::move(sums), std::move(own) });
+        m_history.push_back({ std::move(sums), std::move(own), searches });
         if (m_history.size() <= loadDelayTicks) {
             return;
         }
-        const auto &[totals, ownLoads] = m_history.front();
+        const auto &[totals, ownLoads, allSearches] = m_history.front();
         for (std::size_t i = 0; i < fronts; ++i) {
             auto others = totals;
             for (const auto &use : ownLoads[i]) {
@@ -171,6 +177,7 @@
                 uses.push_back(use);
             }
             m_fronts[i]->pool().setPeerLoads(uses, true);
+            m_fronts[i]->setPeerDemand({ { { "models" }, 0, allSearches * (fronts - 1) / fronts } });
         }
         m_history.pop_front();
     }
@@ -257,7 +264,13 @@
     std::mt19937_64 m_random { 7 };
     target_directory m_directory;
     std::vector<std::unique_ptr<forwarder>> m_fronts;
-    std::deque<std::pair<std::map<target_id, target_use>, std::vector<std::vector<target_use>>>> m_history;
+    struct reported_state
+    {
+        std::map<target_id, target_use> sums;
+        std::vector<std::vector<target_use>> own;
+        float searches = 0;
+    };
+    std::deque<reported_state> m_history;
     std::vector<stream> m_streams;
     std::set<std::pair<std::size_t, attempt_number>> m_ended;
     std::map<target_id, std::uint32_t> m_atTarget;
@@ -310,3 +323,15 @@
     CAPTURE(f.most(), f.mean());
     CHECK(f.refusedShare() == 0);
 }
+
+TEST_CASE("fronts that draw targets from delayed loads keep to the limit of each target", "[front-fleet]")
+{
+    // Load: 300 requests a second at 32 fronts, 8.3 of 10 slots taken in the mean. Without drawing, one target has 18.
+    constexpr std::uint32_t waitingPerTarget = pool_settings {}.waitingPerTarget;
+    fleet f(300, slots, shortPromptSteps, true);
+    f.run(5s);
+    f.startMeasuring();
+    f.run(4s);
+    CAPTURE(f.most(), f.mean(), f.refusedShare());
+    CHECK(f.most() <= slots + waitingPerTarget);
+}
