Initialise the server's clock and a test's constant as clang demands

The linter found both: a const object without initialiser and a constexpr of a type with strings. No behaviour changes.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -169,7 +169,7 @@
     std::uint64_t uses = 0;
     http_limits limits;
     http_handler *handler = nullptr;
-    const system_clock time;
+    const system_clock time {};
     std::minstd_rand random;
     connection_budget budget { 0 };
     /** Closes connections while they hold too much; runs by itself, never inside a call of the handler. */
--- a/test/front-fleet-test.cc
+++ b/test/front-fleet-test.cc
@@ -327,7 +327,7 @@
 TEST_CASE("fronts that draw targets from delayed loads keep to the limit of each target", "[front-fleet]")
 {
     // Load: 300 requests a second at 32 fronts, 8.3 of 10 slots taken in the mean. Without drawing, one target has 18.
-    constexpr std::uint32_t waitingPerTarget = pool_settings {}.waitingPerTarget;
+    const std::uint32_t waitingPerTarget = pool_settings {}.waitingPerTarget;
     fleet f(300, slots, shortPromptSteps, true);
     f.run(5s);
     f.startMeasuring();
