Check the memory bound of memory-process-test in usual builds only

Life, descriptors and the ordinary answer are checked in both builds; crowds, bounds and the checks of the usual build stay as they were.

--- a/test/memory-process-test.py
+++ b/test/memory-process-test.py
@@ -190,7 +190,9 @@
                  if line.startswith("VmHWM:"))
         descriptors = len(list((folder / "fd").iterdir()))
         print(f"peak {peak / 1024:.1f} MB, {descriptors} descriptors", flush=True)
-        self.assertLessEqual(peak, MEMORY_MB * 1024, "kB resident")
+        # Sanitizers keep freed memory, so that the bound holds for usual builds only.
+        if b"__asan_init" not in pathlib.Path(processes.BUILD, "figcleat-node").read_bytes():
+            self.assertLessEqual(peak, MEMORY_MB * 1024, "kB resident")
         self.assertLessEqual(descriptors, DESCRIPTORS)
 
     async def crowd(self, count, first, repeated=b"", reads=False):
