Take the unused work of the switched-off part off the path of requests

A reading of the whole diff found: with the part switched off each request still computed its competitors and recorded its search, and each message of loads was summed twice; how long an outage has lasted was kept and never used; a request could take the place of one that waits for another reason than an outage; the readers of requests and answers had the same body type twice.

Change: the work is done only where scarce room is shared; outage_estimate goes; only requests that await the end of an outage give their place; http/piecewise-body serves both readers. What is switched on behaves as before.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -3,7 +3,6 @@
 #include "figcleat/forward/answer-times.h"
 #include "figcleat/forward/event-rate.h"
 #include "figcleat/forward/event-splitter.h"
-#include "figcleat/forward/outage-estimate.h"
 #include "figcleat/forward/pace-controller.h"
 #include "figcleat/forward/part-quarantine.h"
 #include "figcleat/forward/target-pool.h"
@@ -344,7 +343,8 @@
 
     void setRoutes(std::shared_ptr<const route_index> routes);
     void setNodeCount(std::uint32_t nodes);
-    /** Sets what all other nodes together look for. */
+    [[nodiscard]] bool sharesScarceRoom() const;
+    /** Sets what all other nodes together look for; used if scarce room is shared. */
     void setPeerDemand(std::vector<placement_demand> demand);
     /** Returns what this node looks for, to be told to the others. */
     [[nodiscard]] std::vector<placement_demand> ownDemand(time_point now) const;
@@ -467,6 +467,8 @@
      * waits for this if the request takes its place.
      */
     [[nodiscard]] bool mayAwaitOutageEnd(request_state &state);
+    /** Urgency in the queue: 0 for all unless scarce room is shared. */
+    [[nodiscard]] std::uint32_t queueUrgency(const request_state &state) const;
     [[nodiscard]] competing_requests competitionFor(const request_state &state) const;
     [[nodiscard]] quarantine_verdict reviewPrompt(request_state &state);
     [[nodiscard]] expected<directory_entry> chooseTarget(request_state &state, const quarantine_verdict &verdict);
@@ -532,7 +534,6 @@
     /** Searches for a target, by service and urgency. */
     std::map<std::pair<service_id, std::uint32_t>, event_rate> m_demand;
     std::vector<placement_demand> m_peerDemand;
-    std::map<service_id, outage_estimate> m_outages;
     /** Exponentially smoothed time from the head of an answer to its body, over the last answers. */
     struct head_gap
     {
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -586,7 +586,9 @@
 {
     if (m_loads.takePeerLoadsChanged(now())) {
         m_forwarder.pool().setPeerLoads(m_loads.peerLoads(now()), !m_loads.isDirect());
-        m_forwarder.setPeerDemand(m_loads.peerDemand(now()));
+        if (m_forwarder.sharesScarceRoom()) {
+            m_forwarder.setPeerDemand(m_loads.peerDemand(now()));
+        }
     }
     for (auto &action : m_forwarder.step(event, now())) {
         std::visit([this](auto &what) { carryOut(what); }, action);
--- a/src/forward/forwarder-placement.cc
+++ b/src/forward/forwarder-placement.cc
@@ -19,6 +19,8 @@
 constexpr duration demandWindow = std::chrono::milliseconds(300);
 /** Queue length that is always allowed, so that a node with few requests can queue at all. */
 constexpr double minQueueLength = 1;
+/** A group does not open sooner after the fault that broke it. */
+constexpr duration minOutageRemaining = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -61,24 +63,26 @@
 void forwarder::wait(exchange_id exchange, request_state &state)
 {
     state.isWaiting = true;
-    const std::uint32_t urgency = m_settings.sharesScarceRoom ? state.priority : 0;
-    m_waiting.add({ exchange, state.service, urgency, state.awaitsOutageEnd });
+    m_waiting.add({ exchange, state.service, queueUrgency(state), state.awaitsOutageEnd });
+}
+
+std::uint32_t forwarder::queueUrgency(const request_state &state) const
+{
+    return m_settings.sharesScarceRoom ? state.priority : 0;
 }
 
 bool forwarder::mayAwaitOutageEnd(request_state &state)
 {
     const bool isUntouched = state.executionCount == 0 && !state.isStreaming && !state.fallbackAnswer;
-    auto &outage = m_outages[state.service];
-    outage.update(m_pool.isInterrupted(state.service, m_now), m_now);
     const auto usual = m_answerTimes.usual(state.matchedRoute->name);
-    if (!isUntouched || !outage.isInterrupted() || !usual
-        || m_now + outage_estimate::minRemaining + *usual > state.deadline) {
+    if (!isUntouched || !usual || m_now + minOutageRemaining + *usual > state.deadline
+        || !m_pool.isInterrupted(state.service, m_now)) {
         return false;
     }
     const std::size_t places = m_pool.totalLoad(state.service, m_now).slots / m_nodes;
     if (!state.isWaiting && m_waiting.size(state.service) >= places) {
         const auto last = m_waiting.last(state.service);
-        if (!last || last->urgency <= state.priority) {
+        if (!last || !last->awaitsOutageEnd || last->urgency <= state.priority) {
             return false;
         }
         failRequest(last->exchange, m_requests.at(last->exchange), result_code::no_target);
@@ -92,7 +96,9 @@
 {
     const auto limits = limitsFor(state);
     state.lastDrawAt = m_now;
-    m_demand.try_emplace({ state.service, state.priority }, demandWindow).first->second.record(m_now);
+    if (m_settings.sharesScarceRoom) {
+        m_demand.try_emplace({ state.service, state.priority }, demandWindow).first->second.record(m_now);
+    }
     const auto confined = [&](const prompt_part_id &part) {
         return m_pool.chooseConfined(state.service, part, state.triedTargets, limits, m_now);
     };
@@ -144,8 +150,7 @@
 
 bool forwarder::isQueueFull(const request_state &state) const
 {
-    const auto waiting
-        = static_cast<double>(m_waiting.countAhead(state.service, m_settings.sharesScarceRoom ? state.priority : 0));
+    const auto waiting = static_cast<double>(m_waiting.countAhead(state.service, queueUrgency(state)));
     const auto rate = m_startRates.find(state.service);
     // A service that stands still for a moment goes on at the rate that it had.
     const double perSecond = rate == m_startRates.end() ? 0 : rate->second.lastPerSecond();
@@ -155,7 +160,7 @@
 
 choice_limits forwarder::limitsFor(const request_state &state) const
 {
-    const auto competition = competitionFor(state);
+    const auto competition = m_pool.drawsTargets() ? competitionFor(state) : competing_requests {};
     if (state.matchedRoute->kind != route_kind::stream) {
         return { .competition = competition };
     }
@@ -182,6 +187,11 @@
     return all;
 }
 
+bool forwarder::sharesScarceRoom() const
+{
+    return m_settings.sharesScarceRoom;
+}
+
 void forwarder::setPeerDemand(std::vector<placement_demand> demand)
 {
     m_peerDemand = std::move(demand);
@@ -190,9 +200,6 @@
 std::vector<placement_demand> forwarder::ownDemand(time_point now) const
 {
     std::vector<placement_demand> all;
-    if (!m_settings.sharesScarceRoom) {
-        return all;
-    }
     for (const auto &[key, rate] : m_demand) {
         all.push_back({ key.first, key.second, static_cast<float>(rate.perSecond(now)) });
     }
--- a/src/http/request-reader.h
+++ b/src/http/request-reader.h
@@ -2,11 +2,13 @@
 
 #include "figcleat/core/result-code.h"
 #include "figcleat/http/server.h"
+#include "piecewise-body.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 struct evbuffer;
 
@@ -56,40 +58,14 @@
     [[nodiscard]] received_request take();
 
 private:
-    /** Takes memory for what has arrived, and none for a length that is only announced. */
-    struct arrived_body
+    struct append_piece
     {
-        using value_type = std::string;
-
-        class reader
+        void operator()(std::string &body, std::string_view piece) const
         {
-        public:
-            template<bool isRequest, typename Fields>
-            reader(boost::beast::http::header<isRequest, Fields> & /*head*/, value_type &body)
-                : m_body(&body)
-            {
-            }
-            void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &problem)
-            {
-                problem = {};
-            }
-            template<typename Buffer>
-            std::size_t put(const Buffer &buffer, boost::beast::error_code &problem)
-            {
-                problem = {};
-                m_body->append(static_cast<const char *>(buffer.data()), buffer.size());
-                return buffer.size();
-            }
-            void finish(boost::beast::error_code &problem)
-            {
-                problem = {};
-            }
-
-        private:
-            value_type *m_body;
-        };
+            body += piece;
+        }
     };
-    using parser = boost::beast::http::request_parser<arrived_body>;
+    using parser = boost::beast::http::request_parser<piecewise_body<std::string, append_piece>>;
 
     void start();
     [[nodiscard]] result_code checkHead();
--- a/src/http/response-reader.h
+++ b/src/http/response-reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "figcleat/http/server.h"
+#include "piecewise-body.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
@@ -55,40 +56,15 @@
     [[nodiscard]] bool keepsAlive() const;
 
 private:
-    /** Passes the parser's view of a body on, without a copy. */
-    struct view_body
+    /** Keeps the parser's view of the latest piece, without a copy. */
+    struct view_piece
     {
-        using value_type = std::string_view;
-
-        class reader
+        void operator()(std::string_view &body, std::string_view piece) const
         {
-        public:
-            template<bool isRequest, typename Fields>
-            reader(boost::beast::http::header<isRequest, Fields> & /*head*/, value_type &body)
-                : m_body(&body)
-            {
-            }
-            void init(const boost::optional<std::uint64_t> & /*length*/, boost::beast::error_code &problem)
-            {
-                problem = {};
-            }
-            template<typename Buffer>
-            std::size_t put(const Buffer &buffer, boost::beast::error_code &problem)
-            {
-                problem = {};
-                *m_body = { static_cast<const char *>(buffer.data()), buffer.size() };
-                return buffer.size();
-            }
-            void finish(boost::beast::error_code &problem)
-            {
-                problem = {};
-            }
-
-        private:
-            value_type *m_body;
-        };
+            body = piece;
+        }
     };
-    using parser = boost::beast::http::response_parser<view_body>;
+    using parser = boost::beast::http::response_parser<piecewise_body<std::string_view, view_piece>>;
 
     void start();
     [[nodiscard]] response_part readHead(evbuffer *input);
--- a/test/waiting-queue-test.cc
+++ b/test/waiting-queue-test.cc
@@ -1,11 +1,9 @@
-#include "figcleat/forward/outage-estimate.h"
 #include "figcleat/forward/waiting-queue.h"
 
 #include <catch2/catch.hpp>
 
 using namespace figcleat;
 using namespace figcleat::forward;
-using namespace std::chrono_literals;
 
 namespace
 {
@@ -41,19 +39,3 @@
     CHECK(queue.size({ "desk" }) == 0);
     CHECK_FALSE(queue.last({ "desk" }).has_value());
 }
-
-TEST_CASE("an outage is expected to last about as long as it has lasted", "[forward]")
-{
-    constexpr time_point start { 10s };
-    outage_estimate outage;
-    CHECK(outage.remaining(start) == 0ns);
-    outage.update(true, start);
-    CHECK(outage.remaining(start) == outage_estimate::minRemaining);
-    outage.update(true, start + 2s);
-    CHECK(outage.remaining(start + 2s) == 2s);
-    CHECK(outage.remaining(start + 60s) == outage_estimate::maxRemaining);
-    outage.update(false, start + 60s);
-    CHECK_FALSE(outage.isInterrupted());
-    outage.update(true, start + 61s);
-    CHECK(outage.remaining(start + 61s) == outage_estimate::minRemaining);
-}
