--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Case 10: a model server sends an event without end. TROUBLE=0 lets it answer soundly.
+# Case 10: clients without a key send long Connection headers. TROUBLE=0 leaves those clients out.
 exec python3 "$(dirname "$0")/case.py"
