Accept requests in a planned stop by their deadlines, and answer all that were received

Cause: whether a front could still finish a request was estimated from the longest answer of the route so far, or from a quarter of its timeout. Closing unused connections sooner alone does not help: streams on busy and on new connections are cut in the same way. Ruled out: a signal that is handled late.

Change: every request is accepted until 2.8 s after the signal, later only those whose own deadline passes before the last answers are due; the rest is refused at once as not run, with a short Retry-After. Unused connections are closed at 2.1 s. A request received behind another one, or in part, gets an answer. Phases are parts of the grace period, so that short ones cut no answer before the last sixth. Coordinators and figcleatd's entries stop by the same rules of the server. Requests that the stop cuts have a code of their own in the log.

--- a/include/figcleat/daemon/coordinator-node.h
+++ b/include/figcleat/daemon/coordinator-node.h
@@ -119,6 +119,8 @@
     void addConfiguration(forward::node_update &message, subscriber &who);
     void pollOthers();
     void tick();
+    /** In a planned stop, ends the loop once all calls that were received have their answers. */
+    void stopIfDone();
     /** Tells when this process cannot keep up with its messages. */
     void measureDelay();
 
@@ -158,7 +160,7 @@
     std::uint64_t m_messagesAtWindowStart = 0;
     std::uint64_t m_shedAtWindowStart = 0;
     bool m_hasLeader = false;
-    bool m_stopping = false;
+    std::optional<time_point> m_stopStarted;
 };
 
 } // namespace figcleat
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -4,6 +4,7 @@
 #include "figcleat/daemon/http-client-pool.h"
 #include "figcleat/daemon/node-base.h"
 #include "figcleat/forward/load-exchange.h"
+#include "figcleat/forward/stop-schedule.h"
 #include "figcleat/http/connect-probe.h"
 #include "figcleat/http/server.h"
 
@@ -96,6 +97,7 @@
     bool m_heardCoordinator = true;
     time_point m_lastPollAt {};
     forward::load_exchange m_loads;
+    forward::stop_schedule m_stopSchedule;
     front_metrics m_counts;
     std::uint64_t m_callersRejected = 0;
     time_point m_quarantineSharedAt {};
--- a/include/figcleat/daemon/operator-api.h
+++ b/include/figcleat/daemon/operator-api.h
@@ -50,6 +50,12 @@
     [[nodiscard]] static expected<std::unique_ptr<operator_api>> open(loop &eventLoop, const entry_settings &settings,
                                                                       operator_backend &backend);
 
+    /** Begins a planned stop: every further answer closes its connection. */
+    void closeAfterAnswers();
+    void closeUnused();
+    /** True while an operator's call is received or has no answer. */
+    [[nodiscard]] bool isInUse() const;
+
 private:
     operator_api(const entry_settings &settings, operator_backend &backend);
 
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -349,10 +349,10 @@
     /** Returns what this node looks for, to be told to the others. */
     [[nodiscard]] std::vector<placement_demand> ownDemand(time_point now) const;
     /**
-     * Prepares a planned stop: every request gets its final answer by `end`, and a new request is refused as not run
-     * if its answer would probably take longer.
+     * Begins a planned stop: every request gets its final answer by `lastAnswer`. A request that arrives later than
+     * `acceptAllUntil` is refused as not run unless its own deadline passes by then.
      */
-    void stopBy(time_point end, time_point now);
+    void stop(time_point acceptAllUntil, time_point lastAnswer, time_point now);
     [[nodiscard]] target_pool &pool();
     [[nodiscard]] part_quarantine &quarantine();
     [[nodiscard]] const part_quarantine &quarantine() const;
@@ -401,6 +401,8 @@
         time_point arrivedAt {};
         /** Time by which the caller gets its final answer. */
         time_point deadline {};
+        /** A planned stop ends before the request's own deadline. */
+        bool isCutByStop = false;
         /** Time until which the request may wait for a target with capacity. */
         time_point waitUntil {};
         std::optional<time_point> firstAttemptAt;
@@ -449,8 +451,12 @@
     /** Accepts the answer, or ends the attempt if the answer cannot be passed to the caller. */
     void evaluateAnswer(const answer_started &event, attempt_state &attempt);
     [[nodiscard]] std::optional<refusal> admit(request_state &state, const caller_request &request);
-    /** True if the answer to a request of the route would probably not be complete before a planned stop. */
-    [[nodiscard]] bool comesTooLate(const route &matchedRoute) const;
+    /** True if a planned stop could end the request, arriving now, before its own deadline does. */
+    [[nodiscard]] bool comesTooLate(milliseconds timeout) const;
+    /** Sets the request's deadline, which is the end of a planned stop at the latest. */
+    void setDeadline(request_state &state, time_point deadline) const;
+    /** Retry delay for a request that this front refuses because it stops. */
+    [[nodiscard]] milliseconds stopRetryDelay();
     [[nodiscard]] service_id pickService(const route &matchedRoute);
     /** True if the service has so many requests in progress that another one would leave too little to others. */
     [[nodiscard]] bool isServiceFull(const service_id &service) const;
@@ -528,7 +534,12 @@
     /** Requests in progress of each service. */
     std::map<service_id, std::size_t> m_requestCounts;
     std::size_t m_bufferedBytes = 0;
-    std::optional<time_point> m_stopBy;
+    struct planned_stop
+    {
+        time_point acceptAllUntil;
+        time_point lastAnswer;
+    };
+    std::optional<planned_stop> m_stop;
     answer_times m_answerTimes;
     std::map<service_id, event_rate> m_startRates;
     /** Searches for a target, by service and urgency. */
--- a/include/figcleat/http/server.h
+++ b/include/figcleat/http/server.h
@@ -82,12 +82,17 @@
     void breakStream(exchange_id exchange);
     /** Stops listening; exchanges in progress go on. */
     void stopListening();
-    /** Every further answer closes its connection. */
+    /**
+     * Begins a planned stop: every further answer closes its connection, unless another request has already been
+     * received on it. Requests that arrive behind the announcement of the close are refused as not run.
+     */
     void closeAfterAnswers();
-    /** Closes connections on which no request is being read or answered. */
-    void closeIdle();
-    /** True while some answer has not been passed on to its caller's connection in full. */
-    [[nodiscard]] bool hasUnsentBytes() const;
+    /** Closes connections without a request or answer; a new one has a second for its first request. */
+    void closeUnused();
+    /** Refuses, as not run, requests that have been received in part, and closes their connections. */
+    void rejectUnfinished(result_code code);
+    /** True while a connection receives a request, waits for an answer or sends one, or is new. */
+    [[nodiscard]] bool isInUse() const;
     /** Sets the limit for bodies of requests that begin from now on. */
     void setBodyLimit(std::size_t bytes);
     [[nodiscard]] const connection_budget &budget() const;
--- a/src/daemon/coordinator-node.cc
+++ b/src/daemon/coordinator-node.cc
@@ -4,6 +4,7 @@
 #include "figcleat/core/log.h"
 #include "figcleat/core/overloaded.h"
 #include "figcleat/daemon/target-status.h"
+#include "figcleat/forward/stop-schedule.h"
 #include "figcleat/wire/codec.h"
 
 #include <algorithm>
@@ -162,8 +163,11 @@
 
 void coordinator_node::drain()
 {
+    if (m_stopStarted) {
+        return;
+    }
     logger()->info("event=stop calls={}", m_open.size());
-    m_stopping = true;
+    m_stopStarted = now();
     m_server->stopListening();
     m_server->closeAfterAnswers();
 }
@@ -738,7 +742,25 @@
     controlGroups();
     perform(m_proposer.tick(now()));
     refuseOverdueSignOffs();
-    if (m_stopping && m_open.empty() && !m_server->hasUnsentBytes()) {
+    stopIfDone();
+}
+
+void coordinator_node::stopIfDone()
+{
+    if (!m_stopStarted) {
+        return;
+    }
+    const duration since = now() - *m_stopStarted;
+    const auto schedule = forward::stopScheduleFor(m_settings.bounds.grace);
+    m_server->closeUnused();
+    if (since >= schedule.lastAnswer) {
+        m_server->rejectUnfinished(result_code::entry_stopping);
+        while (!m_open.empty()) {
+            answer(m_open.begin()->first,
+                   { .code = result_code::agreement_unavailable, .detail = "the log has not decided in time" });
+        }
+    }
+    if ((m_open.empty() && !m_server->isInUse()) || since >= schedule.end) {
         m_loop->stop();
     }
 }
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -101,6 +101,8 @@
     logFor(part::request)->info("Stops: {} requests are in progress.", m_pipeline.requestsInProgress());
     m_drainDeadline = m_time->now() + m_settings.entry->drainDeadline;
     m_callers->stopListening();
+    m_callers->closeAfterAnswers();
+    m_operators->closeAfterAnswers();
     step(request::stop_requested {});
 }
 
@@ -276,8 +278,11 @@
 {
     ensure(!deadlinePassed || m_pipeline.requestsInProgress() == 0, result_code::invariant_graceful_stop,
            "the drain deadline has passed with requests in progress");
+    m_callers->closeUnused();
+    m_operators->closeUnused();
+    const bool isInUse = m_callers->isInUse() || m_operators->isInUse();
     // A caller that does not read its answer holds up the stop until the deadline and no longer.
-    if (m_isDrained && (deadlinePassed || !m_callers->hasUnsentBytes())) {
+    if (m_isDrained && (deadlinePassed || !isInUse)) {
         m_loop->stop();
     }
 }
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -39,11 +39,6 @@
 constexpr std::size_t largestRequestsHeld = 4;
 /** The forwarder ends silent attempts; this is above the longest route timeout. */
 constexpr duration answerTimeout = std::chrono::minutes(10);
-/** After a planned stop, time in which the platform notices that this front is not ready: two questions a second apart
- * and one second for the connections that were opened meanwhile. */
-constexpr duration unreadyPeriod = std::chrono::milliseconds(3200);
-/** Connections that no caller uses are closed this long before the end of the grace period. */
-constexpr duration idleCloseMargin = std::chrono::milliseconds(2500);
 /** One in so many answers in time is logged, by request id, so that a request has all of its lines or none. */
 constexpr std::uint64_t uneventfulPerLine = 64;
 /** A longer path is cut off in the log, so that callers cannot fill it. */
@@ -56,10 +51,6 @@
 /** A front that has just started asks the others this often, each time it polls, what is in quarantine. */
 constexpr int maxQuarantineQueries = 8;
 constexpr std::string_view quarantinePath = "/quarantine";
-/** A process that has not ended by itself by then is killed in mid-answer. */
-constexpr duration graceMargin = std::chrono::milliseconds(500);
-/** Requests that are still unanswered get their final answer so long before the end of the grace period. */
-constexpr duration lastAnswerMargin = std::chrono::milliseconds(700);
 
 constexpr http_client_settings callSettings { .connectTimeout = connectTimeout,
                                               .firstByteTimeout = answerTimeout,
@@ -228,6 +219,7 @@
     , m_clients(m_loop, callSettings, *this)
     , m_probes(m_loop->base())
     , m_loads(m_self, m_settings.dataCentre)
+    , m_stopSchedule(forward::stopScheduleFor(m_settings.bounds.grace))
 {
     m_forwarder.pool().setDirectory(&m_directory);
 }
@@ -284,9 +276,10 @@
         return;
     }
     logger()->info("event=stop requests={}", m_forwarder.requestsInProgress());
-    m_drainStarted = m_time->now();
+    const time_point start = m_time->now();
+    m_drainStarted = start;
     m_callers->closeAfterAnswers();
-    m_forwarder.stopBy(*m_drainStarted + m_settings.bounds.grace - lastAnswerMargin, *m_drainStarted);
+    m_forwarder.stop(start + m_stopSchedule.acceptAll, start + m_stopSchedule.lastAnswer, start);
 }
 
 bool front_node::isReady() const
@@ -571,13 +564,19 @@
         return;
     }
     const duration since = m_time->now() - *m_drainStarted;
-    const duration grace = m_settings.bounds.grace;
-    if (since >= unreadyPeriod || since >= grace - idleCloseMargin) {
+    if (since >= m_stopSchedule.closeUnused) {
+        m_callers->closeUnused();
+    }
+    const bool isListening = since < m_stopSchedule.acceptAll;
+    if (!isListening) {
         m_callers->stopListening();
-        m_callers->closeIdle();
     }
-    const bool isDone = since >= unreadyPeriod && m_forwarder.requestsInProgress() == 0 && !m_callers->hasUnsentBytes();
-    if (isDone || since >= grace - graceMargin) {
+    if (since >= m_stopSchedule.lastAnswer) {
+        m_callers->rejectUnfinished(result_code::entry_stopping);
+    }
+    const bool isDone = !isListening && m_forwarder.requestsInProgress() == 0 && !m_callers->isInUse();
+    if (isDone || since >= m_stopSchedule.end) {
+        logger()->info("event=stop_done after_ms={} requests={}", wholeMs(since), m_forwarder.requestsInProgress());
         m_loop->stop();
     }
 }
--- a/src/daemon/operator-api.cc
+++ b/src/daemon/operator-api.cc
@@ -50,6 +50,21 @@
 {
 }
 
+void operator_api::closeAfterAnswers()
+{
+    m_server->closeAfterAnswers();
+}
+
+void operator_api::closeUnused()
+{
+    m_server->closeUnused();
+}
+
+bool operator_api::isInUse() const
+{
+    return m_server->isInUse();
+}
+
 bool operator_api::isOperator(const http_request &request) const
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/forward/forwarder-admission.cc
+++ b/src/forward/forwarder-admission.cc
@@ -15,8 +15,11 @@
 /** Share of all requests in progress that may be for one service, so that targets which do not answer block others
  * only for callers of their own service. */
 constexpr double maxServiceShare = 0.75;
-/** Expected time of an answer on a route without any yet, as a share of the route's timeout. */
-constexpr double unknownAnswerShare = 0.25;
+/** Another front serves the caller at once; the spread keeps callers of one front from returning all together. */
+constexpr milliseconds minOtherFrontDelay { 10 };
+constexpr milliseconds maxOtherFrontDelay { 100 };
+/** From the end of a planned stop until the next process is ready. */
+constexpr milliseconds restartTime { 1000 };
 
 } // namespace
 
@@ -37,40 +40,50 @@
     if (keyOwner == nullptr && m_routes->hasWorkspaces() && !state.matchedRoute->isPublic) {
         return refusal { result_code::wrong_credential };
     }
-    if (comesTooLate(*state.matchedRoute)) {
-        return refusal { result_code::entry_stopping, false, defaultRetryDelay };
+    const milliseconds timeout
+        = std::min(state.matchedRoute->timeout, request.deadline.value_or(state.matchedRoute->timeout));
+    if (comesTooLate(timeout)) {
+        return refusal { result_code::entry_stopping, false, stopRetryDelay() };
     }
     state.priority = state.matchedRoute->priority;
     if (keyOwner != nullptr) {
         state.workspace = keyOwner->name;
         state.priority = keyOwner->priority.value_or(state.priority);
     }
-    const milliseconds timeout
-        = std::min(state.matchedRoute->timeout, request.deadline.value_or(state.matchedRoute->timeout));
-    state.deadline = std::min(m_now + timeout, m_stopBy.value_or(time_point::max()));
+    setDeadline(state, m_now + timeout);
     const auto wait = maxWaitShare * std::chrono::duration<double>(std::min(timeout, state.matchedRoute->objective));
     state.waitUntil = m_now + std::chrono::duration_cast<duration>(wait);
     return std::nullopt;
 }
 
-void forwarder::stopBy(time_point end, time_point now)
+void forwarder::stop(time_point acceptAllUntil, time_point lastAnswer, time_point now)
 {
     m_now = now;
-    m_stopBy = end;
+    m_stop = { acceptAllUntil, lastAnswer };
     for (auto &[exchange, state] : m_requests) {
-        state.deadline = std::min(state.deadline, end);
+        setDeadline(state, state.deadline);
     }
 }
 
-bool forwarder::comesTooLate(const route &matchedRoute) const
+void forwarder::setDeadline(request_state &state, time_point deadline) const
+{
+    state.isCutByStop = m_stop && deadline > m_stop->lastAnswer;
+    state.deadline = state.isCutByStop ? m_stop->lastAnswer : deadline;
+}
+
+bool forwarder::comesTooLate(milliseconds timeout) const
+{
+    return m_stop && m_now > m_stop->acceptAllUntil && m_now + timeout > m_stop->lastAnswer;
+}
+
+milliseconds forwarder::stopRetryDelay()
 {
-    if (!m_stopBy) {
-        return false;
+    if (m_nodes > 1) {
+        std::uniform_int_distribution<milliseconds::rep> delay(minOtherFrontDelay.count(), maxOtherFrontDelay.count());
+        return milliseconds(delay(m_random));
     }
-    const duration expected
-        = m_answerTimes.longest(matchedRoute.name)
-              .value_or(std::chrono::duration_cast<duration>(unknownAnswerShare * matchedRoute.timeout));
-    return *m_stopBy - m_now < expected;
+    const auto left = std::chrono::ceil<milliseconds>(std::max(duration {}, m_stop->lastAnswer - m_now));
+    return left + restartTime;
 }
 
 bool forwarder::isServiceFull(const service_id &service) const
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -198,7 +198,7 @@
         state.executionCount += 1;
         endAttempt(state, attempt_result::abandoned);
     }
-    failRequest(exchange, state, result_code::deadline_exceeded);
+    failRequest(exchange, state, state.isCutByStop ? result_code::entry_stopping : result_code::deadline_exceeded);
 }
 
 void forwarder::failRequest(exchange_id exchange, request_state &state, result_code code)
@@ -269,7 +269,7 @@
             || (state.isStreaming && state.matchedRoute->maxGap.count() > 0
                 && ended.longestPause > state.matchedRoute->maxGap));
     if (code == result_code::ok) {
-        m_answerTimes.record(state.matchedRoute->name, ended.totalTime, ended.totalTime - ended.queueTime);
+        m_answerTimes.record(state.matchedRoute->name, ended.totalTime - ended.queueTime);
     }
     ended.configurationVersion = state.routes ? state.routes->version() : 0;
     m_actions.emplace_back(std::move(ended));
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <fmt/format.h>
+#include <functional>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <random>
@@ -35,10 +36,17 @@
 constexpr std::size_t discardFactor = 2;
 /** Larger bodies of answers are handed to libevent without a copy. */
 constexpr std::size_t maxCopiedBytes = std::size_t { 4 } * 1024;
-/** Delay in seconds after which a caller that was refused for lack of memory may come back; spread, so that callers do
- * not come back all at once. */
-constexpr double minRetryAfterSeconds = 0.5;
-constexpr double maxRetryAfterSeconds = 1.5;
+struct retry_delay
+{
+    double minSeconds;
+    double maxSeconds;
+};
+/** Delays are spread, so that refused callers do not return all at once. */
+constexpr retry_delay memoryDelay { 0.5, 1.5 };
+/** For a planned stop, as another process serves the caller at once. */
+constexpr retry_delay stopDelay { 0.01, 0.1 };
+/** A caller sends the first request as soon as its connection stands, also if a packet was lost. */
+constexpr duration newConnectionTime = std::chrono::seconds(1);
 /** A caller that has its final answer gets this long to close. */
 constexpr duration lingerTimeout = std::chrono::seconds(2);
 /** Without a free descriptor, accepting fails at once each time it is tried. */
@@ -147,10 +155,16 @@
         /** Of the current request. */
         bool keepAlive = true;
         bool takesChunks = true;
+        /** The head of the current stream says that the connection is closed after it. */
+        bool announcesClose = false;
+        /** A planned stop has announced the close; requests behind the announcement are refused. */
+        bool refusesRequests = false;
         /** False for an answer that ends with its head. */
         bool hasBody = true;
         /** The caller sends nothing more; its last answer is still due. */
         bool isHalfClosed = false;
+        time_point openedAt {};
+        bool hasHadRequest = false;
         /** Grows with each use of any connection. */
         std::uint64_t lastUse = 0;
         /** Value of `lastUse` with which the request began that is being received. */
@@ -186,24 +200,31 @@
     void accept(evutil_socket_t socket);
     [[nodiscard]] bool makeRoom();
     [[nodiscard]] static bool isUnused(const connection &what);
+    /** The first request may be on its way. */
+    [[nodiscard]] bool isNew(const connection &what) const;
     /** Updates the budget; to be called after each change of the bytes that the connection holds. */
     void account(connection &of);
     void relieve();
     void read(connection &from);
     void awaitRest(connection &from) const;
     void receive(connection &from);
+    void sendRefusal(connection &to, result_code code);
     void reject(connection &from, result_code code);
     void discard(connection &from);
     void onSent(connection &to);
     void onTimer(connection &of);
     void onEvent(connection &of, short events);
     void end(connection &what);
+    /** Connections for which `matches` holds. */
+    [[nodiscard]] std::vector<connection *> select(const std::function<bool(const connection &)> &matches) const;
     [[nodiscard]] connection *find(exchange_id exchange) const;
     [[nodiscard]] connection *finish(exchange_id exchange);
     [[nodiscard]] bool keepsAlive(const connection &what) const;
     void sendHead(connection &to, std::string head) const;
     /** Goes on with the next request, or closes once all is sent. */
     void finishAnswer(connection &to, bool keepAlive);
+    void awaitNext(connection &on);
+    void closeWhenSent(connection &what);
 };
 
 http_server::state::~state()
@@ -266,6 +287,11 @@
         && evbuffer_get_length(bufferevent_get_input(what.handle)) == 0;
 }
 
+bool http_server::state::isNew(const connection &what) const
+{
+    return !what.hasHadRequest && time.now() - what.openedAt < newConnectionTime;
+}
+
 /**
  * Ends the connection that was unused for longest or, if all are in use, the one that has been sending its request for
  * longest; false if all of them wait for answers.
@@ -331,6 +357,7 @@
     made.server = this;
     made.key = ++lastKey;
     connectionsByKey.emplace(made.key, &made);
+    made.openedAt = time.now();
     made.lastUse = ++uses;
     made.handle = bufferevent_socket_new(loop, socket, BEV_OPT_CLOSE_ON_FREE);
     made.timer = evtimer_new(
@@ -412,21 +439,28 @@
     evtimer_del(from.timer);
     from.progressBytes = connection_budget::progressBytes(from.reader.headBytes(), from.reader.bodyBytes());
     auto received = from.reader.take();
+    from.hasHadRequest = true;
+    from.announcesClose = false;
     from.now = phase::answering;
     bufferevent_setwatermark(from.handle, EV_READ, 0, maxPipelinedBytes);
     account(from);
     from.keepAlive = received.keepAlive;
     from.takesChunks = received.takesChunks;
     from.hasBody = received.request.method != "HEAD";
+    if (from.refusesRequests) {
+        handler->onRejected(result_code::entry_stopping);
+        sendRefusal(from, result_code::entry_stopping);
+        finishAnswer(from, false);
+        return;
+    }
     last = last.next();
     from.current = last;
     exchanges.emplace(last, &from);
     handler->onRequest(last, std::move(received.request));
 }
 
-void http_server::state::reject(connection &from, result_code code)
+void http_server::state::sendRefusal(connection &to, result_code code)
 {
-    handler->onRejected(code);
     const auto &info = describe(code);
     const auto number = static_cast<int>(code);
     const std::string body = fmt::format("{{\"error\":{{\"code\":{},\"name\":\"{}\"}}}}\n", number, info.name);
@@ -435,14 +469,24 @@
                            { "X-Figcleat-Request", std::string(toString(info.ran)) },
                            { "Connection", "close" },
                            { "Content-Length", std::to_string(body.size()) } };
-    if (code == result_code::memory_full) {
-        std::uniform_real_distribution<double> delay(minRetryAfterSeconds, maxRetryAfterSeconds);
+    if (code == result_code::memory_full || code == result_code::entry_stopping) {
+        const auto &range = code == result_code::memory_full ? memoryDelay : stopDelay;
+        std::uniform_real_distribution<double> delay(range.minSeconds, range.maxSeconds);
         headers.emplace_back("Retry-After", fmt::format("{:.3f}", delay(random)));
     }
+    sendHead(to, headOf(info.httpStatus, headers));
+    if (to.hasBody) {
+        append(to.handle, body);
+    }
+}
+
+void http_server::state::reject(connection &from, result_code code)
+{
+    handler->onRejected(code);
     from.reader.abandon();
-    sendHead(from, headOf(info.httpStatus, headers));
-    append(from.handle, body);
-    finishAnswer(from, false);
+    from.hasBody = true;
+    sendRefusal(from, code);
+    closeWhenSent(from);
     discard(from);
 }
 
@@ -521,6 +565,18 @@
     }
 }
 
+std::vector<http_server::state::connection *>
+http_server::state::select(const std::function<bool(const connection &)> &matches) const
+{
+    std::vector<connection *> selected;
+    for (const auto &[one, owned] : connections) {
+        if (matches(*one)) {
+            selected.push_back(one);
+        }
+    }
+    return selected;
+}
+
 http_server::state::connection *http_server::state::find(exchange_id exchange) const
 {
     const auto found = exchanges.find(exchange);
@@ -540,7 +596,8 @@
 
 bool http_server::state::keepsAlive(const connection &what) const
 {
-    return what.keepAlive && !isStopping;
+    const bool hasNext = evbuffer_get_length(bufferevent_get_input(what.handle)) > 0;
+    return what.keepAlive && !what.refusesRequests && (!isStopping || hasNext);
 }
 
 void http_server::state::sendHead(connection &to, std::string head) const
@@ -551,20 +608,36 @@
 
 void http_server::state::finishAnswer(connection &to, bool keepAlive)
 {
-    evtimer_del(to.timer);
-    if (!keepAlive) {
-        to.now = phase::closing;
-        if (unsentBytes(to.handle) == 0) {
-            onSent(to);
-        }
-        return;
+    const bool hasNext = evbuffer_get_length(bufferevent_get_input(to.handle)) > 0;
+    if (!keepAlive && isStopping && to.keepAlive && to.takesChunks && hasNext) {
+        // Sent before the caller could read the announcement, and read here: it must not be left without an answer.
+        to.refusesRequests = true;
+        awaitNext(to);
+    } else if (keepAlive) {
+        awaitNext(to);
+    } else {
+        closeWhenSent(to);
+    }
+}
+
+void http_server::state::awaitNext(connection &on)
+{
+    evtimer_del(on.timer);
+    on.now = phase::reading;
+    on.lastUse = ++uses;
+    bufferevent_setwatermark(on.handle, EV_READ, 0, maxUnreadBytes);
+    account(on);
+    if (evbuffer_get_length(bufferevent_get_input(on.handle)) > 0) {
+        bufferevent_trigger(on.handle, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
     }
-    to.now = phase::reading;
-    to.lastUse = ++uses;
-    bufferevent_setwatermark(to.handle, EV_READ, 0, maxUnreadBytes);
-    account(to);
-    if (evbuffer_get_length(bufferevent_get_input(to.handle)) > 0) {
-        bufferevent_trigger(to.handle, EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+void http_server::state::closeWhenSent(connection &what)
+{
+    evtimer_del(what.timer);
+    what.now = phase::closing;
+    if (unsentBytes(what.handle) == 0) {
+        onSent(what);
     }
 }
 
@@ -615,11 +688,11 @@
 {
     if (auto *to = m_state->find(exchange); to != nullptr) {
         // Without chunks the end of the connection is the end of the answer.
-        to->keepAlive = m_state->keepsAlive(*to) && to->takesChunks;
+        to->announcesClose = !m_state->keepsAlive(*to) || !to->takesChunks;
         to->hasBody = to->hasBody && !hasNoBody(status);
         std::string head = headOf(status, headers);
         head += to->takesChunks && to->hasBody ? "Transfer-Encoding: chunked\r\n" : "";
-        head += to->keepAlive ? "" : "Connection: close\r\n";
+        head += to->announcesClose ? "Connection: close\r\n" : "";
         m_state->sendHead(*to, std::move(head));
     }
 }
@@ -647,7 +720,7 @@
         if (to->takesChunks && to->hasBody) {
             append(to->handle, "0\r\n\r\n");
         }
-        m_state->finishAnswer(*to, to->keepAlive);
+        m_state->finishAnswer(*to, !to->announcesClose);
     }
 }
 
@@ -685,24 +758,28 @@
     m_state->isStopping = true;
 }
 
-void http_server::closeIdle()
+void http_server::closeUnused()
 {
-    std::vector<state::connection *> idle;
-    for (const auto &[from, owned] : m_state->connections) {
-        if (state::isUnused(*from)) {
-            idle.push_back(from);
-        }
+    for (auto *one :
+         m_state->select([this](const auto &what) { return state::isUnused(what) && !m_state->isNew(what); })) {
+        m_state->end(*one);
     }
-    for (auto *from : idle) {
-        m_state->end(*from);
+}
+
+void http_server::rejectUnfinished(result_code code)
+{
+    for (auto *one :
+         m_state->select([](const auto &what) { return what.now == state::phase::reading && !what.reader.isIdle(); })) {
+        m_state->reject(*one, code);
     }
 }
 
-bool http_server::hasUnsentBytes() const
+bool http_server::isInUse() const
 {
     const auto &open = m_state->connections;
-    return std::any_of(open.begin(), open.end(),
-                       [](const auto &entry) { return unsentBytes(entry.first->handle) > 0; });
+    return std::any_of(open.begin(), open.end(), [this](const auto &entry) {
+        return !state::isUnused(*entry.first) || m_state->isNew(*entry.first);
+    });
 }
 
 } // namespace figcleat
--- a/src/request/replies.cc
+++ b/src/request/replies.cc
@@ -9,6 +9,8 @@
 {
 
 constexpr auto retryAfterSeconds = "1";
+/** Another entry serves the caller at once. */
+constexpr auto retryElsewhereSeconds = "0";
 
 } // namespace
 
@@ -28,7 +30,8 @@
     constexpr int tooManyRequests = 429;
     constexpr int unavailable = 503;
     if (info.httpStatus == tooManyRequests || info.httpStatus == unavailable) {
-        headers.emplace_back("Retry-After", retryAfterSeconds);
+        headers.emplace_back("Retry-After",
+                             code == result_code::entry_stopping ? retryElsewhereSeconds : retryAfterSeconds);
     }
     return { exchange, info.httpStatus, std::move(headers),
              body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" };
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -214,6 +214,59 @@
     int requests = 0;
 };
 
+/** Keeps requests until the test answers them. */
+class held_requests : public http_handler
+{
+public:
+    void onRequest(exchange_id exchange, http_request request) override
+    {
+        exchanges.push_back(exchange);
+        paths.push_back(request.path);
+    }
+    void onCallerGone(exchange_id /*exchange*/) override
+    {
+    }
+    void onRejected(result_code code) override
+    {
+        rejected.push_back(code);
+    }
+
+    std::vector<exchange_id> exchanges;
+    std::vector<std::string> paths;
+    std::vector<result_code> rejected;
+};
+
+/** A server whose answers the test gives, before and in a planned stop. */
+struct stopping_server
+{
+    std::unique_ptr<raw_socket> connect() const
+    {
+        auto caller = connectTo(port);
+        loop.runFor(2ms);
+        return caller;
+    }
+
+    /** Sends a request and waits until the handler has it. */
+    void send(const raw_socket &caller, const std::string &path)
+    {
+        const auto before = handler.exchanges.size();
+        caller.write("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(loop.runUntil([&] { return handler.exchanges.size() > before; }));
+    }
+
+    void answerLast()
+    {
+        constexpr int ok = 200;
+        server->reply(handler.exchanges.back(), ok, {}, "ok");
+        loop.runFor(2ms);
+    }
+
+    event_loop loop;
+    held_requests handler;
+    std::uint16_t port = freePort();
+    std::unique_ptr<http_server> server = *http_server::open(loop.base(), loopback, port, {}, handler);
+};
+
 std::string requestLine(const std::string &bytes)
 {
     return bytes.substr(0, bytes.find("\r\n"));
@@ -541,3 +594,106 @@
         CHECK_FALSE(callers[busy]->isClosed());
     }
 }
+
+TEST_CASE("a request received behind another one is answered in a planned stop", "[http-server]")
+{
+    // Guards against a pipelined request that is read and then lost with its connection.
+    stopping_server f;
+    const auto caller = f.connect();
+    f.send(*caller, "/first");
+    caller->write("GET /second HTTP/1.1\r\nHost: a\r\n\r\nGET /third HTTP/1.1\r\nHost: a\r\n\r\n");
+    f.loop.runFor(2ms);
+    f.server->closeAfterAnswers();
+    for (int i = 0; i < 3; ++i) {
+        CHECK(countOf(caller->received(), "Connection: close") == 0);
+        f.answerLast();
+    }
+    CHECK(countOf(caller->received(), "HTTP/1.1 200 ") == 3);
+    CHECK(countOf(caller->received(), "Connection: close") == 1);
+    CHECK(f.loop.runUntil([&] { return caller->isClosed(); }));
+}
+
+TEST_CASE("requests received behind the announcement of the close are refused", "[http-server]")
+{
+    // Guards against a request that is read in the course of a stream and then lost with its connection.
+    stopping_server f;
+    const auto caller = f.connect();
+    f.send(*caller, "/stream");
+    f.server->closeAfterAnswers();
+    constexpr int ok = 200;
+    f.server->startStream(f.handler.exchanges.back(), ok, {});
+    caller->write("GET /second HTTP/1.1\r\nHost: a\r\n\r\nHEAD /third HTTP/1.1\r\nHost: a\r\n\r\nGET /fou");
+    f.loop.runFor(2ms);
+    CHECK(f.server->sendPiece(f.handler.exchanges.back(), "piece"));
+    f.server->endStream(f.handler.exchanges.back());
+    f.loop.runFor(2ms);
+    CHECK(countOf(caller->received(), "HTTP/1.1 503 ") == 2);
+    CHECK_FALSE(caller->isClosed());
+    caller->write("rth HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(f.loop.runUntil([&] { return caller->isClosed(); }));
+    const auto received = caller->received();
+    CHECK(countOf(received, "HTTP/1.1 503 ") == 3);
+    CHECK(countOf(received, "Retry-After: 0.") == 3);
+    CHECK(f.handler.paths == std::vector<std::string> { "/stream" });
+    CHECK(f.handler.rejected == std::vector<result_code>(3, result_code::entry_stopping));
+}
+
+TEST_CASE("a request that is received in part is refused at the end of a planned stop", "[http-server]")
+{
+    // Guards against a caller whose body is still arriving and whose connection ends without a word.
+    stopping_server f;
+    const auto caller = f.connect();
+    caller->write("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo");
+    const auto idle = f.connect();
+    f.send(*idle, "/b");
+    f.answerLast();
+    f.server->closeAfterAnswers();
+    f.server->closeUnused();
+    f.loop.runFor(2ms);
+    CHECK(idle->isClosed());
+    CHECK_FALSE(caller->isClosed());
+    CHECK(f.server->isInUse());
+    f.server->rejectUnfinished(result_code::entry_stopping);
+    CHECK(f.loop.runUntil([&] { return caller->isClosed(); }));
+    CHECK(caller->received().starts_with("HTTP/1.1 503 "));
+    CHECK(countOf(caller->received(), "Connection: close") == 1);
+}
+
+TEST_CASE("the rest of an answer is not followed by a refusal", "[http-server]")
+{
+    // Guards against bytes for no request behind an answer that the caller reads slowly.
+    stopping_server f;
+    const auto caller = f.connect();
+    f.send(*caller, "/a");
+    const std::string body(std::size_t { 4 } * 1024 * 1024, 'x');
+    constexpr int ok = 200;
+    f.server->reply(f.handler.exchanges.back(), ok, {}, body);
+    f.loop.runFor(2ms);
+    f.server->closeAfterAnswers();
+    f.server->closeUnused();
+    f.server->rejectUnfinished(result_code::entry_stopping);
+    CHECK(f.server->isInUse());
+    CHECK(f.loop.runUntil([&] { return caller->received().ends_with(body); }));
+    f.loop.runFor(2ms);
+    CHECK(countOf(caller->received(), "HTTP/1.1 ") == 1);
+    CHECK_FALSE(f.server->isInUse());
+}
+
+TEST_CASE("a new connection has time for its first request in a planned stop", "[http-server]")
+{
+    // Guards against a caller that has just connected and is closed with its request on the way.
+    stopping_server f;
+    f.server->closeAfterAnswers();
+    const auto caller = f.connect();
+    f.server->closeUnused();
+    CHECK(f.server->isInUse());
+    f.send(*caller, "/a");
+    f.answerLast();
+    CHECK(caller->received().starts_with("HTTP/1.1 200 "));
+    CHECK(f.loop.runUntil([&] { return caller->isClosed(); }));
+    const auto silent = f.connect();
+    CHECK(f.loop.runUntil([&] {
+        f.server->closeUnused();
+        return silent->isClosed();
+    }));
+}
