Refuse answers with a status that HTTP does not have

Cause: the reader of answers took each number below 200 for an interim answer and every other one for a final answer; the parser accepts any three digits. Ruled out: 2000 and letters, which the parser refuses; the platform's dialect, which checks only the seal of a success.

Change: the one reader of all clients sorts statuses into interim, final and invalid. Invalid ones, and 101, make the answer unusable: the call fails at once and its connection is closed. Other interim answers are skipped as before.

--- a/include/figcleat/http/client.h
+++ b/include/figcleat/http/client.h
@@ -49,8 +49,8 @@
  * HTTP client on libevent with the parser of Boost.Beast: one connection for each call at a time, so that a silent
  * connection holds back one call only.
  *
- * Interim answers are skipped. A head above 16 KiB or 128 lines, interim answers included, or a malformed answer fails
- * the call at once; bytes of a body are handed on as they come.
+ * Interim answers are skipped. A head above 16 KiB or 128 lines, interim answers included, a malformed answer or one
+ * with a status outside 100 to 599 or with 101 fails the call at once; bytes of a body are handed on as they come.
  *
  * It never sends a call twice.
  */
--- a/src/http/response-reader.cc
+++ b/src/http/response-reader.cc
@@ -16,7 +16,25 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr int firstFinalStatus = 200;
+enum class status_kind : std::uint8_t {
+    /** The answer itself follows. */
+    interim,
+    final,
+    /** No status of HTTP, or one that no call here asks for. */
+    invalid,
+};
+
+status_kind kindOf(int status)
+{
+    constexpr int firstInterim = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int firstFinal = 200;
+    constexpr int lastFinal = 599;
+    if (status < firstInterim || status > lastFinal || status == switchingProtocols) {
+        return status_kind::invalid;
+    }
+    return status < firstFinal ? status_kind::interim : status_kind::final;
+}
 
 std::string_view toView(boost::beast::string_view text)
 {
@@ -100,10 +118,14 @@
         if (problem || used != head.size()) {
             return response_part::unusable;
         }
+        const auto kind = kindOf(status());
+        if (kind == status_kind::invalid) {
+            return response_part::unusable;
+        }
         m_headBytes += head.size();
         m_headLines += lines;
         evbuffer_drain(input, used);
-        if (status() >= firstFinalStatus) {
+        if (kind == status_kind::final) {
             m_isHeadDone = true;
             return response_part::head;
         }
--- a/src/http/response-reader.h
+++ b/src/http/response-reader.h
@@ -20,14 +20,15 @@
     bytes,
     /** The answer is whole; what follows in the buffer belongs to no call. */
     end,
-    /** Malformed, or above a bound. */
+    /** Malformed, with a status that no answer has, or above a bound. */
     unusable,
 };
 
 /**
  * Reads one answer from its bytes, in whatever pieces they arrive.
  *
- * Interim answers (1xx) are skipped. What has to be whole before it can be used is bounded in bytes.
+ * Interim answers (1xx) are skipped. An answer with a status outside 100 to 599, or with 101, is unusable: what follows
+ * such a head cannot be told from its body. What has to be whole before it can be used is bounded in bytes.
  */
 class response_reader
 {
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -189,6 +189,29 @@
     }
 }
 
+TEST_CASE("a call fails at once on a status that no answer has", "[http-client]")
+{
+    // Guards against a call that waits for its timeout, and against a connection that is used again with the rest.
+    for (const std::string line : { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols",
+                                    "HTTP/1.1 600 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 abc OK" }) {
+        for (const std::string before : { "", "HTTP/1.1 102 Processing\r\n\r\n" }) {
+            INFO(before << line);
+            fixture f({ .keepAlive = true });
+            auto &at = f.call(1);
+            at.write(before + line + "\r\n\r\n" + okAnswer);
+            CHECK(f.loop.runUntil([&] { return f.log.hasEnded(); }, 500ms));
+            CHECK(f.log.failed == 1);
+            CHECK(f.log.unsent == 0);
+            CHECK(f.log.statuses.empty());
+            CHECK(f.log.body.empty());
+            CHECK(f.loop.runUntil([&] { return at.isClosed(); }, 500ms));
+            f.call(2).write(okAnswer);
+            CHECK(f.loop.runUntil([&] { return f.log.whole == 1; }, 500ms));
+            CHECK(f.log.statuses == std::vector { 200 });
+        }
+    }
+}
+
 TEST_CASE("bytes of a chunk are handed on before the chunk is whole", "[http-client]")
 {
     fixture f;
--- a/test/response-reader-test.cc
+++ b/test/response-reader-test.cc
@@ -100,6 +100,8 @@
         "HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n0001\r\na\r\n000\r\nX-End: 1\r\nX-Id: 2\r\n\r\n",
         "HTTP/1.0 200 OK\r\nServer: a\r\n  b\r\n\r\nto the end",
         "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 599 OK\r\nContent-Length: 2\r\n\r\nok",
     };
     constexpr std::uint64_t seed = 23;
     constexpr int rounds = 4000;
@@ -112,3 +114,58 @@
         REQUIRE(outcomeOf(answer, 20, random) == whole);
     }
 }
+
+namespace
+{
+
+outcome outcomeOf(const std::string &answer, std::mt19937_64 &random)
+{
+    constexpr std::size_t mostBytes = 9;
+    return outcomeOf(answer, mostBytes, random);
+}
+
+} // namespace
+
+TEST_CASE("a status that no answer has makes the answer unusable", "[http-client]")
+{
+    // Guards against a caller that gets such a status, and against an answer that is taken from the bytes behind it.
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::mt19937_64 random(1);
+    for (const std::string status : { "000", "001", "099", "101", "600", "700", "999", "2000", "0200", "20", "2", "abc",
+                                      "20x", "-20", "+200", "", "1e2", "0x1" }) {
+        for (const std::string before : { "", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n" }) {
+            for (const std::string reason : { " OK", " ", "" }) {
+                for (const std::string fields : { "", "Content-Length: 2\r\n", "Upgrade: h2c\r\n" }) {
+                    const std::string answer
+                        = before + "HTTP/1.1 " + status + reason + "\r\n" + fields + "\r\n" + sound;
+                    INFO(answer);
+                    const auto result = outcomeOf(answer, random);
+                    CHECK(result.statuses.empty());
+                    CHECK(result.last == response_part::unusable);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("every status of HTTP is read", "[http-client]")
+{
+    // Guards against a check of statuses that refuses those that HTTP has or may get.
+    constexpr int firstInterim = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int firstFinal = 200;
+    constexpr int lastFinal = 599;
+    const std::string sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::mt19937_64 random(1);
+    for (int status = firstInterim; status <= lastFinal; ++status) {
+        INFO(status);
+        const std::string line = "HTTP/1.1 " + std::to_string(status) + " A\r\n";
+        if (status >= firstFinal) {
+            CHECK(outcomeOf(line + "Content-Length: 0\r\n\r\n", random).statuses == std::vector { status });
+        } else if (status != switchingProtocols) {
+            const auto result = outcomeOf(line + "Link: a\r\n\r\n" + sound, random);
+            CHECK(result.statuses == std::vector { firstFinal });
+            CHECK(result.body == "ok");
+        }
+    }
+}
