--- a/test/front-stop-process-test.py
+++ b/test/front-stop-process-test.py
@@ -352,6 +352,40 @@
                         front.send_signal(signal.SIGTERM)
         self.check(stops, asyncio.run(self.play(stops, (20, 20), during)))
 
+    async def stop_coordinator(self):
+        coordinator = self.start("coordinator", COORDINATOR)
+        await self.operate("PUT", "/-/config", configuration(1, 8000))
+        text = configuration(2, 7000).encode()
+        first = head_of("PUT /-/config HTTP/1.1", {"Host": "a", "Content-Length": len(text)}).encode()
+        read = head_of("GET /-/config HTTP/1.1", {"Host": "a"}).encode()
+        (upload, to_upload), (piped, to_piped), (unused, _) = [
+            await asyncio.open_connection(COORDINATOR, CONTROL) for _ in range(3)]
+        to_upload.write(first + text[:200])
+        to_piped.write(first + text[:200])
+        await asyncio.sleep(0.2)
+        coordinator.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        to_upload.write(text[200:])
+        to_piped.write(text[200:] + read + read)
+        answers = []
+        for reader, count in ((upload, 1), (piped, 3)):
+            for _ in range(count):
+                (_, status, *_), headers = await read_head(reader)
+                answers.append((int(status), headers.get("connection"), await read_body(reader, headers)))
+            self.assertEqual(await reader.read(), b"")
+        self.assertEqual(await unused.read(), b"")
+        to_upload.close()
+        to_piped.close()
+        return answers, await asyncio.to_thread(coordinator.wait, 10)
+
+    def test_stop_of_a_coordinator(self):
+        """Guards against an operator's call that a stopping coordinator has received in part and never answers."""
+        answers, status = asyncio.run(self.stop_coordinator())
+        self.assertEqual([one[0] for one in answers], [200] * 4)
+        self.assertEqual([one[1] for one in answers], ["close", None, None, "close"])
+        self.assertEqual(json.loads(answers[-1][2])["version"], 2)
+        self.assertEqual(status, 0)
+
 
 if __name__ == "__main__":
     processes.main()
