Search each byte of an event stream once

Cause: each piece was searched together with all of the partial event, up to 1 MiB.

Change: the splitter keeps the start of the line that is not complete.

--- a/include/figcleat/forward/event-splitter.h
+++ b/include/figcleat/forward/event-splitter.h
@@ -29,7 +29,16 @@
     [[nodiscard]] const std::string &lastId() const;
 
 private:
+    /**
+     * Appends to the partial event; each byte is searched once, in whatever pieces an event arrives.
+     *
+     * Returns the offset just after the last complete event, 0 if there is none. An event ends with an empty line.
+     */
+    [[nodiscard]] std::size_t append(std::string_view bytes);
+
     std::string m_partialEvent;
+    /** Start of the line in `m_partialEvent` that is not complete. */
+    std::size_t m_lineStart = 0;
     std::string m_lastId;
 };
 
--- a/src/forward/event-splitter.cc
+++ b/src/forward/event-splitter.cc
@@ -8,21 +8,6 @@
 
 constexpr std::string_view idField = "id:";
 
-/** Offset just after the last complete event in `bytes`; 0 if there is none. An event ends with an empty line. */
-std::size_t completeEventsEnd(std::string_view bytes)
-{
-    std::size_t end = 0;
-    std::size_t lineStart = 0;
-    for (auto lineEnd = bytes.find('\n'); lineEnd != std::string_view::npos; lineEnd = bytes.find('\n', lineStart)) {
-        const bool isEmpty = lineEnd == lineStart || (lineEnd == lineStart + 1 && bytes[lineStart] == '\r');
-        lineStart = lineEnd + 1;
-        if (isEmpty) {
-            end = lineStart;
-        }
-    }
-    return end;
-}
-
 std::string_view trimmed(std::string_view text)
 {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -38,10 +23,10 @@
 
 std::string event_splitter::push(std::string_view bytes)
 {
-    m_partialEvent += bytes;
-    const std::size_t end = completeEventsEnd(m_partialEvent);
+    const std::size_t end = append(bytes);
     std::string completeEvents = m_partialEvent.substr(0, end);
     m_partialEvent.erase(0, end);
+    m_lineStart -= end;
     std::string_view remaining = completeEvents;
     while (!remaining.empty()) {
         const auto lineEnd = remaining.find('\n');
@@ -54,9 +39,28 @@
     return completeEvents;
 }
 
+std::size_t event_splitter::append(std::string_view bytes)
+{
+    std::size_t end = 0;
+    const std::size_t searched = m_partialEvent.size();
+    m_partialEvent += bytes;
+    auto lineEnd = m_partialEvent.find('\n', searched);
+    while (lineEnd != std::string::npos) {
+        const bool isEmpty
+            = lineEnd == m_lineStart || (lineEnd == m_lineStart + 1 && m_partialEvent[m_lineStart] == '\r');
+        m_lineStart = lineEnd + 1;
+        if (isEmpty) {
+            end = m_lineStart;
+        }
+        lineEnd = m_partialEvent.find('\n', m_lineStart);
+    }
+    return end;
+}
+
 void event_splitter::dropPartialEvent()
 {
     m_partialEvent.clear();
+    m_lineStart = 0;
 }
 
 bool event_splitter::hasPartialEvent() const
