Leave a silent or slow target only for one with room

Cause: a request at a slow or silent target was cancelled first and then looked for another one. While a group pauses and the rest is full there is none, and the stream is cut; streams beside it that were not moved went on after 1.15 s.

Change: the request moves only if another target has room at that moment.

forwarder-test, a silent or slow target is left only for one with room: 4 checks failed before.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -429,6 +429,8 @@
         bool awaitsOutageEnd = false;
         /** Last time that a target was drawn for the request. */
         time_point lastDrawAt {};
+        /** Last time that a target with room was sought for the request while its own was slow or silent. */
+        std::optional<time_point> otherTargetSoughtAt;
         /** The last target may have crashed because of this request; a retry waits for evidence of other fronts. */
         std::optional<time_point> retryHeldUntil;
         /** Set if the request is the trial of a quarantine: a part in quarantine. */
@@ -496,6 +498,8 @@
     /** Ends the request if its deadline has passed. */
     void checkDeadline(exchange_id exchange, request_state &state);
     void checkStalledTarget(exchange_id exchange, request_state &state);
+    /** True if a target other than those tried has room for the request; false if that was looked up just before. */
+    [[nodiscard]] bool hasOtherTarget(request_state &state);
     /** Cancels the current attempt and retries at another target. Call after `takeRetry` has returned true. */
     void switchTarget(exchange_id exchange, request_state &state, std::string reason);
     /** True if a further request would probably reach its `waitUntil` before a target has capacity for it. */
--- a/src/forward/forwarder-retries.cc
+++ b/src/forward/forwarder-retries.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds minSilence { 700 };
 /** A target counts as active if it sent bytes within this time. */
 constexpr duration activeWindow = std::chrono::milliseconds(300);
+/** Pause between two searches for another target, each of which looks at all targets of the service. */
+constexpr milliseconds otherTargetPeriod { 50 };
 /** A request may wait at least this long for another target after a failed attempt. */
 constexpr milliseconds minRetryWait { 100 };
 /** A broken stream may wait at least this long for another target; callers abandon it after a pause of two seconds. */
@@ -77,7 +79,8 @@
 /**
  * Retries a request elsewhere if its target is slow, or silent while others are active.
  *
- * A silent request stays if fewer than two targets are active: another target would probably not answer sooner.
+ * A silent request stays if fewer than two targets are active: another target would probably not answer sooner. Any
+ * request stays while no other target has room for it: its own target may go on, for example once its group does.
  */
 void forwarder::checkStalledTarget(exchange_id exchange, request_state &state)
 {
@@ -93,18 +96,23 @@
     if (m_pool.hasNoUsableTarget(state.service, { found->second.started.incarnation.target }, m_now)) {
         return;
     }
-    if (state.isStreaming && m_pool.isSlow(found->second.started.incarnation.target, m_now)
-        && takeRetry(state.service)) {
-        switchTarget(exchange, state, "slow");
-        return;
-    }
+    const bool isSlow = state.isStreaming && m_pool.isSlow(found->second.started.incarnation.target, m_now);
     const milliseconds limit = std::max(minSilence, state.matchedRoute->objective * silenceFactor);
-    if (m_now - found->second.lastProgress < limit || m_pool.countActive(state.service, activeWindow, m_now) < 2) {
-        return;
+    const bool isSilent
+        = m_now - found->second.lastProgress >= limit && m_pool.countActive(state.service, activeWindow, m_now) >= 2;
+    if ((isSlow || isSilent) && hasOtherTarget(state) && takeRetry(state.service)) {
+        switchTarget(exchange, state, isSlow ? "slow" : "silent");
     }
-    if (takeRetry(state.service)) {
-        switchTarget(exchange, state, "silent");
+}
+
+bool forwarder::hasOtherTarget(request_state &state)
+{
+    const bool isTooSoon = state.otherTargetSoughtAt && m_now - *state.otherTargetSoughtAt < otherTargetPeriod;
+    if (isTooSoon || state.deadline - m_now < minTimeLeft) {
+        return false;
     }
+    state.otherTargetSoughtAt = m_now;
+    return chooseTarget(state, admit_request {}).has_value();
 }
 
 void forwarder::switchTarget(exchange_id exchange, request_state &state, std::string reason)
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -425,6 +425,39 @@
     CHECK(find<cancel_attempt>(moved)->attempt == attempt);
 }
 
+TEST_CASE("a silent or slow target is left only for one with room", "[forward]")
+{
+    // Guards against a stream that is cut although its target would have gone on after a pause of its group.
+    for (const bool isSlow : { false, true }) {
+        INFO(isSlow);
+        fixture f;
+        std::vector<start_attempt> streams;
+        for (std::uint64_t i = 1; streams.size() < 8 && i < 20; ++i) {
+            const auto actions = f.arrive(i, streamPath);
+            if (const auto *started = find<start_attempt>(actions); started != nullptr) {
+                streams.push_back(*started);
+                (void)f.startStream(started->attempt);
+                (void)f.step(answer_bytes { started->attempt, "id: 1\ndata: a\n\n" });
+            }
+        }
+        REQUIRE(streams.size() == 8);
+        if (isSlow) {
+            f.instance().pool().setEngines({ { streams.front().call.address, true, 12.0 } }, f.now());
+        } else {
+            f.advance(790ms);
+            for (std::size_t i = 1; i < streams.size(); ++i) {
+                (void)f.step(answer_bytes { streams[i].attempt, "id: 2\ndata: b\n\n" });
+            }
+            f.advance(20ms);
+        }
+        const auto kept = f.step(forward_tick {});
+        CHECK(find<cancel_attempt>(kept) == nullptr);
+        CHECK(find<abort_answer>(kept) == nullptr);
+        (void)f.step(answer_bytes { streams.front().attempt, "id: 2\ndata: b\n\n" });
+        CHECK(find<end_event_stream>(f.step(answer_ended { streams.front().attempt })) != nullptr);
+    }
+}
+
 TEST_CASE("requests of other nodes affect the choice of a target", "[forward]")
 {
     fixture f;
