Log why a stream was cut, and when a front stood still

What the logs couldn't tell: event=request has the code target_at_limit for a stream that a front gave up after it had left a silent target, for one whose target broke off and for a plain refusal; status=0 for a stream whose caller had a 200; and the longest pause without the one that is open at the end. Nothing said that the front itself had stood still.

Change, observability only: - request_finished.cut and event=stream_cut name the front's own choice: deadline, planned_stop, left_target, target_lost, quarantine, buffer_full; figcleat_streams_cut_total counts them - the status is the one that the caller got, and the pause of an incomplete stream includes the one up to its end - a gap of more than 250 ms between two ticks is event=loop_late of a front, with figcleat_stalls_total and figcleat_stalled_milliseconds_total

Two tests in forwarder-test; the choice of targets and the moment of every action are as before.

--- a/include/figcleat/daemon/front-metrics.h
+++ b/include/figcleat/daemon/front-metrics.h
@@ -19,6 +19,7 @@
     void record(const forward::failed_attempt &note);
     void record(const forward::notice_applied &noted);
     void record(const forward::quarantine_changed &changed);
+    void record(const forward::node_stalled &stalled);
     void write(report::metrics_text &page) const;
 
 private:
@@ -41,6 +42,9 @@
 
     std::map<outcome, std::uint64_t> m_requests;
     std::map<attempt_failure, std::uint64_t> m_attempts;
+    std::map<forward::cut_cause, std::uint64_t> m_cuts;
+    std::uint64_t m_stalls = 0;
+    duration m_stalledTime {};
     std::map<forward::quarantine_change, std::uint64_t> m_quarantineChanges;
     std::uint64_t m_leaving = 0;
     std::uint64_t m_rests = 0;
--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -75,6 +75,7 @@
     void carryOut(const forward::failed_attempt &action);
     void carryOut(const forward::notice_applied &action);
     void carryOut(const forward::quarantine_changed &action);
+    void carryOut(const forward::node_stalled &action);
 
     struct open_attempt
     {
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -205,6 +205,24 @@
     exchange_id exchange;
 };
 
+/** Why a stream was broken towards its caller. */
+enum class cut_cause : std::uint8_t {
+    /** The deadline of the request has passed, or too little time was left for another attempt. */
+    deadline,
+    /** The last answers of a planned stop were due. */
+    planned_stop,
+    /** This node left a slow or silent target, and no other target took the stream over. */
+    left_target,
+    /** The target broke off or sent an unusable answer, and no other target took the stream over. */
+    target_lost,
+    /** A part of the prompt is in quarantine. */
+    quarantine,
+    /** An event or all buffered answers together were too long. */
+    buffer_full,
+};
+
+[[nodiscard]] std::string_view toString(cut_cause cause);
+
 /** Result of a request that has ended, for logs, metrics and the service-level report. */
 struct request_finished
 {
@@ -217,7 +235,10 @@
     /** Target of the last attempt. */
     target_id target;
     result_code code = result_code::ok;
+    /** Status that the caller got from a target; 0 if it got none. */
     int status = 0;
+    /** Set if a stream was broken towards its caller. */
+    std::optional<cut_cause> cut;
     std::uint32_t attempts = 0;
     /** From the arrival of the request to the start of its first attempt, or to the end if there was none. */
     duration queueTime {};
@@ -227,7 +248,7 @@
     duration firstByteTime {};
     /** From the arrival of the request to its end. */
     duration totalTime {};
-    /** Longest pause between two events of a stream. */
+    /** Longest pause between two events of a stream; of an incomplete stream also from its last event to its end. */
     duration longestPause {};
     /** The answer began later than the route's objective, or a pause exceeded the route's limit. */
     bool isLate = false;
@@ -281,9 +302,16 @@
     quarantine_note note;
 };
 
+/** This node did nothing for a while: its process was suspended or got no processor time. */
+struct node_stalled
+{
+    /** Between two ticks. */
+    duration time {};
+};
+
 using forward_action = std::variant<start_attempt, cancel_attempt, probe_target, refuse_request, send_answer,
                                     start_event_stream, send_events, end_event_stream, abort_answer, request_finished,
-                                    failed_attempt, notice_applied, quarantine_changed>;
+                                    failed_attempt, notice_applied, quarantine_changed, node_stalled>;
 
 /** Load of a service as measured by this node. */
 struct service_load
@@ -423,6 +451,10 @@
         std::optional<send_answer> fallbackAnswer;
         result_code lastFailure = result_code::no_target;
         bool isStreaming = false;
+        /** Status with which the caller's stream began. */
+        int streamStatus = 0;
+        /** This node left a slow or silent target, and no other one has begun an answer since. */
+        bool hasLeftTarget = false;
         /** The request is queued until a target has capacity. */
         bool isWaiting = false;
         /** The request waits, or has waited, for the end of an outage of its service. */
@@ -449,6 +481,8 @@
     void handle(const target_probed &event);
     void handle(const quarantine_received &event);
     void handle(const forward_tick &event);
+    /** Reports that this node has done nothing since the last tick, if that is so. */
+    void checkStall();
 
     /** Accepts the answer, or ends the attempt if the answer cannot be passed to the caller. */
     void evaluateAnswer(const answer_started &event, attempt_state &attempt);
@@ -519,8 +553,10 @@
     void finishAnswer(exchange_id exchange, request_state &state, answer_head head, std::string body);
     /** Ends the request with the target's error answer if there is one, else with a refusal or an aborted stream. */
     void failRequest(exchange_id exchange, request_state &state, result_code code);
+    [[nodiscard]] static cut_cause cutCauseOf(const request_state &state, result_code code);
     void refuse(exchange_id exchange, const request_state &state, const refusal &details);
-    void finish(exchange_id exchange, const request_state &state, result_code code, int status);
+    void finish(exchange_id exchange, const request_state &state, result_code code, int status,
+                std::optional<cut_cause> cut = std::nullopt);
     [[nodiscard]] milliseconds retryDelay(const request_state &state);
     void recordFailedAttempt(const request_state &state, std::string outcome, std::string next);
 
@@ -530,6 +566,7 @@
     std::shared_ptr<const route_index> m_routes;
     std::uint32_t m_nodes;
     time_point m_now {};
+    std::optional<time_point> m_lastTickAt;
     std::mt19937_64 m_random;
     attempt_number m_lastAttempt;
     std::map<exchange_id, request_state> m_requests;
--- a/src/daemon/front-metrics.cc
+++ b/src/daemon/front-metrics.cc
@@ -18,6 +18,9 @@
 void front_metrics::record(const forward::request_finished &ended)
 {
     ++m_requests[{ ended.code, ended.isLate }];
+    if (ended.cut) {
+        ++m_cuts[*ended.cut];
+    }
     if (ended.attempts == 0) {
         return;
     }
@@ -46,6 +49,12 @@
     ++m_quarantineChanges[changed.note.change];
 }
 
+void front_metrics::record(const forward::node_stalled &stalled)
+{
+    ++m_stalls;
+    m_stalledTime += stalled.time;
+}
+
 void front_metrics::write(report::metrics_text &page) const
 {
     for (const auto &[what, count] : m_requests) {
@@ -60,6 +69,14 @@
                                  forward::toString(what.stage)),
                      count);
     }
+    for (const auto &[cause, count] : m_cuts) {
+        page.counter("figcleat_streams_cut_total", "Streams that this front broke towards their callers.",
+                     fmt::format("cause=\"{}\"", forward::toString(cause)), count);
+    }
+    page.counter("figcleat_stalls_total", "Times that this process stood still.", {}, m_stalls);
+    const auto stalledMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_stalledTime).count();
+    page.counter("figcleat_stalled_milliseconds_total", "Time that this process stood still.", {},
+                 static_cast<std::uint64_t>(stalledMs));
     using forward::quarantine_change;
     for (const auto &[change, state] :
          { std::pair(quarantine_change::started, "started"), std::pair(quarantine_change::trial, "trial"),
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -661,6 +661,11 @@
 void front_node::carryOut(const forward::request_finished &action)
 {
     m_counts.record(action);
+    if (action.cut) {
+        logger()->warn("event=stream_cut id={} cause={} code={} target={} attempts={} pause_ms={} whole_ms={}",
+                       action.id.value, forward::toString(*action.cut), describe(action.code).name, action.target.value,
+                       action.attempts, wholeMs(action.longestPause), wholeMs(action.totalTime));
+    }
     // Answers in time are the rule; of these a sample shows what is usual.
     const bool isUneventful
         = action.code == result_code::ok && !action.isLate && checksum(action.id.value) % uneventfulPerLine != 0;
@@ -713,4 +718,10 @@
                    record.trials, record.nextTrialMs, witnesses(record));
 }
 
+void front_node::carryOut(const forward::node_stalled &action)
+{
+    m_counts.record(action);
+    logger()->warn("event=loop_late delay_ms={}", wholeMs(action.time));
+}
+
 } // namespace figcleat
--- a/src/forward/forwarder-answers.cc
+++ b/src/forward/forwarder-answers.cc
@@ -105,6 +105,7 @@
         = state.matchedRoute->kind == route_kind::stream && event.head.isEventStream && isSuccess(event.head.status);
     if (isStream && !state.isStreaming) {
         state.isStreaming = true;
+        state.streamStatus = event.head.status;
         m_actions.emplace_back(start_event_stream { exchange, event.head });
     } else if (state.isStreaming && !isStream) {
         // The caller has received part of an event stream; no other kind of body may follow.
@@ -113,7 +114,9 @@
         endAttempt(state, attempt_result::failed);
         retryOrFail(exchange, state, true, result_code::engine_failed);
         assignWaitingRequests();
+        return;
     }
+    state.hasLeftTarget = false;
 }
 
 void forwarder::handle(const answer_bytes &event)
--- a/src/forward/forwarder-retries.cc
+++ b/src/forward/forwarder-retries.cc
@@ -120,6 +120,7 @@
     m_actions.emplace_back(cancel_attempt { state.currentAttempt });
     state.events.dropPartialEvent();
     state.executionCount += 1;
+    state.hasLeftTarget = true;
     state.waitUntil = std::max(state.waitUntil, m_now + (state.isStreaming ? minResumeWait : minRetryWait));
     endAttempt(state, attempt_result::failed);
     recordFailedAttempt(state, std::move(reason), "retry");
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -20,6 +20,8 @@
 constexpr int retryDelayDivisor = 3;
 /** Shortest retry delay as a share of the longest: a lack of capacity or of targets lasts a while. */
 constexpr double minRetryDelayShare = 0.6;
+/** Ten ticks: after a longer gap between two of them this node has stood still. */
+constexpr duration maxTickGap = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -38,6 +40,25 @@
     return "";
 }
 
+std::string_view toString(cut_cause cause)
+{
+    switch (cause) {
+    case cut_cause::deadline:
+        return "deadline";
+    case cut_cause::planned_stop:
+        return "planned_stop";
+    case cut_cause::left_target:
+        return "left_target";
+    case cut_cause::target_lost:
+        return "target_lost";
+    case cut_cause::quarantine:
+        return "quarantine";
+    case cut_cause::buffer_full:
+        return "buffer_full";
+    }
+    return "";
+}
+
 forwarder::forwarder(forwarder_settings settings)
     : m_settings(std::move(settings))
     , m_pool(m_settings.pool)
@@ -139,7 +160,7 @@
         m_actions.emplace_back(cancel_attempt { state.currentAttempt });
         endAttempt(state, attempt_result::abandoned);
     }
-    finish(event.exchange, state, result_code::caller_gone, 0);
+    finish(event.exchange, state, result_code::caller_gone, state.streamStatus);
     assignWaitingRequests();
 }
 
@@ -159,8 +180,17 @@
     checkRequests();
 }
 
+void forwarder::checkStall()
+{
+    const time_point last = std::exchange(m_lastTickAt, m_now).value_or(m_now);
+    if (m_now - last > maxTickGap) {
+        m_actions.emplace_back(node_stalled { m_now - last });
+    }
+}
+
 void forwarder::handle(const forward_tick & /*event*/)
 {
+    checkStall();
     m_quarantine.tick(m_now);
     updatePaceControllers();
     checkRequests();
@@ -205,7 +235,7 @@
 {
     if (state.isStreaming) {
         m_actions.emplace_back(abort_answer { exchange });
-        finish(exchange, state, code, 0);
+        finish(exchange, state, code, state.streamStatus, cutCauseOf(state, code));
         return;
     }
     if (state.fallbackAnswer) {
@@ -220,6 +250,23 @@
     refuse(exchange, state, details);
 }
 
+cut_cause forwarder::cutCauseOf(const request_state &state, result_code code)
+{
+    switch (code) {
+    case result_code::entry_stopping:
+        return cut_cause::planned_stop;
+    case result_code::deadline_exceeded:
+    case result_code::deadline_too_near:
+        return state.isCutByStop ? cut_cause::planned_stop : cut_cause::deadline;
+    case result_code::prompt_quarantined:
+        return cut_cause::quarantine;
+    case result_code::buffer_full:
+        return cut_cause::buffer_full;
+    default:
+        return state.hasLeftTarget ? cut_cause::left_target : cut_cause::target_lost;
+    }
+}
+
 /**
  * Draws a random retry delay from the later part of the range that callers honour, so that callers do not all retry
  * at once.
@@ -247,7 +294,8 @@
     finish(exchange, state, details.code, 0);
 }
 
-void forwarder::finish(exchange_id exchange, const request_state &state, result_code code, int status)
+void forwarder::finish(exchange_id exchange, const request_state &state, result_code code, int status,
+                       std::optional<cut_cause> cut)
 {
     request_finished ended;
     ended.id = state.request->id;
@@ -258,12 +306,16 @@
     ended.target = state.lastTarget;
     ended.code = code;
     ended.status = status;
+    ended.cut = cut;
     ended.attempts = state.attemptCount;
     ended.queueTime = state.firstAttemptAt.value_or(m_now) - state.arrivedAt;
     ended.headerTime = state.headerTime;
     ended.firstByteTime = state.firstByteAt.value_or(m_now) - state.arrivedAt;
     ended.totalTime = m_now - state.arrivedAt;
     ended.longestPause = state.longestPause;
+    if (code != result_code::ok && state.isStreaming && state.firstByteAt) {
+        ended.longestPause = std::max(ended.longestPause, m_now - state.lastEventAt);
+    }
     ended.isLate = state.matchedRoute != nullptr
         && (ended.firstByteTime > state.matchedRoute->objective
             || (state.isStreaming && state.matchedRoute->maxGap.count() > 0
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -657,3 +657,52 @@
         now += 20s;
     }
 }
+
+TEST_CASE("the end of a cut stream tells its cause, its status and its open pause", "[forward]")
+{
+    // Guards against cuts that look alike in the log, whoever caused them.
+    fixture f;
+    const auto attempt = startedIn(f.arrive(1, streamPath));
+    (void)f.startStream(attempt);
+    (void)f.step(answer_bytes { attempt, "id: 1\ndata: a\n\n" });
+    f.advance(900ms);
+    SECTION("deadline")
+    {
+        f.advance(600ms);
+        const auto all = f.step(forward_tick {});
+        const auto *ended = find<request_finished>(all);
+        REQUIRE(ended != nullptr);
+        CHECK(ended->cut == cut_cause::deadline);
+        CHECK(ended->status == 200);
+        CHECK(ended->longestPause == 1500ms);
+    }
+    SECTION("planned stop")
+    {
+        f.instance().stop(f.now(), f.now() + 10ms, f.now());
+        f.advance(10ms);
+        const auto all = f.step(forward_tick {});
+        REQUIRE(find<request_finished>(all) != nullptr);
+        CHECK(find<request_finished>(all)->cut == cut_cause::planned_stop);
+    }
+    SECTION("lost target")
+    {
+        const auto second = startedIn(f.step(attempt_failed { attempt, false }));
+        const auto all = f.step(attempt_failed { second, false });
+        REQUIRE(find<request_finished>(all) != nullptr);
+        CHECK(find<request_finished>(all)->cut == cut_cause::target_lost);
+        CHECK(find<request_finished>(all)->longestPause == 900ms);
+    }
+}
+
+TEST_CASE("a node reports that it stood still", "[forward]")
+{
+    // Guards against pauses of this process that look like those of targets.
+    fixture f;
+    (void)f.step(forward_tick {});
+    f.advance(250ms);
+    CHECK(find<node_stalled>(f.step(forward_tick {})) == nullptr);
+    f.advance(251ms);
+    const auto all = f.step(forward_tick {});
+    REQUIRE(find<node_stalled>(all) != nullptr);
+    CHECK(find<node_stalled>(all)->time == 251ms);
+}
