Keep the attempt at a silent or slow target until another one goes on

What callers saw: a stream that had begun was broken by its front, 9 s before its deadline, because its target had been silent for 0.8 s or slow and the targets with room refused it; the target itself went on 0.2 to 0.8 s later. Plain safe requests got a refusal in the same way.

Cause: a move cancelled the attempt before the other target had accepted the request.

Ruled out: that a better view of loads would do. Fronts see loads with a delay, targets pause and break without notice, and a refusal, a broken connection, an error and a second silence all ended the stream.

Change: a move runs a second attempt beside the first one, from the last complete event. Whichever goes on first is kept and the other is cancelled: the previous target with any byte, the new one with the first bytes of a stream that has begun, otherwise with its head. A new attempt that is refused, unreachable, broken or failed leaves the request at its target. Events of a slow target are held back for at most 0.7 s meanwhile. Both runs count against the route's attempts, each move draws on the retry budget, a front sends one move at a time to a target, and a request stays after three moves that came back.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -211,7 +211,7 @@
     deadline,
     /** The last answers of a planned stop were due. */
     planned_stop,
-    /** This node left a slow or silent target, and no other target took the stream over. */
+    /** The target that took the stream over from a slow or silent one has failed. */
     left_target,
     /** The target broke off or sent an unusable answer, and no other target took the stream over. */
     target_lost,
@@ -274,9 +274,12 @@
 {
     request_id id;
     target_incarnation incarnation;
-    /** Name of the result code, or "slow" or "silent" if this node cancelled the attempt. */
+    /**
+     * Name of the result code, "slow" or "silent" for the target that a move leaves, or "overtaken" for a move whose
+     * previous target went on first.
+     */
     std::string outcome;
-    /** "retry" or "end". */
+    /** "retry", "held", "end", "move" (the attempt goes on beside another one) or "return" (to that attempt). */
     std::string next;
     attempt_stage stage = attempt_stage::unsent;
     /** From the start of the attempt to its end. */
@@ -440,6 +443,14 @@
         duration longestPause {};
         /** Zero if no attempt is in progress. */
         attempt_number currentAttempt;
+        /** The attempt that a move has left and keeps until the current one goes on; zero without a move. */
+        attempt_number previousAttempt;
+        /** The move has left a slow target: events of the previous attempt are held back. */
+        bool holdsPrevious = false;
+        /** Arrival of the first event that is held back. */
+        std::optional<time_point> heldSince;
+        /** Moves that ended at the target that they had left. */
+        std::uint32_t returnedMoves = 0;
         std::set<target_id> triedTargets;
         /** All attempts that were started. */
         std::uint32_t attemptCount = 0;
@@ -453,7 +464,7 @@
         bool isStreaming = false;
         /** Status with which the caller's stream began. */
         int streamStatus = 0;
-        /** This node left a slow or silent target, and no other one has begun an answer since. */
+        /** Another target has taken the request over from a slow or silent one. */
         bool hasLeftTarget = false;
         /** The request is queued until a target has capacity. */
         bool isWaiting = false;
@@ -513,7 +524,9 @@
     [[nodiscard]] std::uint32_t queueUrgency(const request_state &state) const;
     [[nodiscard]] competing_requests competitionFor(const request_state &state) const;
     [[nodiscard]] quarantine_verdict reviewPrompt(request_state &state);
-    [[nodiscard]] expected<directory_entry> chooseTarget(request_state &state, const quarantine_verdict &verdict);
+    /** @param busy targets that are left out, beside those that the request has tried */
+    [[nodiscard]] expected<directory_entry> chooseTarget(request_state &state, const quarantine_verdict &verdict,
+                                                         const std::set<target_id> &busy = {});
     void rejectQuarantined(exchange_id exchange, request_state &state, const reject_request &rejection);
     /** Checks each request for its deadline, a stalled target and the quarantine. */
     void checkRequests();
@@ -532,10 +545,25 @@
     /** Ends the request if its deadline has passed. */
     void checkDeadline(exchange_id exchange, request_state &state);
     void checkStalledTarget(exchange_id exchange, request_state &state);
-    /** True if a target other than those tried has room for the request; false if that was looked up just before. */
-    [[nodiscard]] bool hasOtherTarget(request_state &state);
-    /** Cancels the current attempt and retries at another target. Call after `takeRetry` has returned true. */
-    void switchTarget(exchange_id exchange, request_state &state, std::string reason);
+    /** Returns a target with room other than those tried, if there is one; none if that was looked up just before. */
+    [[nodiscard]] std::optional<directory_entry> findOtherTarget(request_state &state);
+    /** Starts a second attempt, at `target`, beside the current one. Call after `takeRetry` has returned true. */
+    void startMove(exchange_id exchange, request_state &state, const directory_entry &target, std::string reason);
+    /** Ends the attempt that the move has left, as the current one goes on; does nothing without a move. */
+    void completeMove(request_state &state);
+    /** Goes on with the attempt that the move has left. Call after the current one has ended. May end the request. */
+    void returnToPrevious(exchange_id exchange, request_state &state);
+    /** Cancels the current attempt and returns to the previous one. May end the request. */
+    void cancelMove(exchange_id exchange, request_state &state, std::string reason);
+    /** Returns to a slow target whose events have been held back for too long. May end the request. */
+    void checkHeldEvents(exchange_id exchange, request_state &state);
+    /** Handles an answer's head at the attempt that the move has left; false if that attempt has ended with it. */
+    [[nodiscard]] bool evaluatePreviousHead(exchange_id exchange, request_state &state, const answer_head &head);
+    /** Handles the end of the attempt that the move has left. The current one goes on. */
+    void endPrevious(request_state &state, attempt_result result, std::string reason);
+    /** True if bytes of the previous attempt are kept back while the move has not been decided. */
+    [[nodiscard]] bool holdBack(request_state &state, attempt_state &previous, std::string_view bytes);
+    [[nodiscard]] static bool isMoving(const request_state &state);
     /** True if a further request would probably reach its `waitUntil` before a target has capacity for it. */
     [[nodiscard]] bool isQueueFull(const request_state &state) const;
     void updatePaceControllers();
@@ -547,15 +575,20 @@
     void retryOrFail(exchange_id exchange, request_state &state, bool mayHaveRun, result_code code);
     [[nodiscard]] static attempt_stage stageOf(const attempt_state &attempt, attempt_result result);
     void endAttempt(request_state &state, attempt_result result);
+    /** Ends an attempt of the request that is no longer its current or previous one. */
+    void closeAttempt(request_state &state, attempt_number number, attempt_result result);
+    [[nodiscard]] ended_attempt describeAttempt(const attempt_state &attempt, attempt_result result) const;
     /** Recalculates the request's buffered bytes. Call after each change of its answer, fallback or events. */
     void updateBufferedBytes(request_state &state);
+    /** Records the pause before bytes of a stream, for the limit of requests at one target. */
+    void recordPause(const request_state &state, attempt_state &attempt, duration pause);
     void forwardEvents(exchange_id exchange, request_state &state, std::string_view bytes);
     void finishAnswer(exchange_id exchange, request_state &state, answer_head head, std::string body);
     /** Ends the request with the target's error answer if there is one, else with a refusal or an aborted stream. */
     void failRequest(exchange_id exchange, request_state &state, result_code code);
     [[nodiscard]] static cut_cause cutCauseOf(const request_state &state, result_code code);
-    void refuse(exchange_id exchange, const request_state &state, const refusal &details);
-    void finish(exchange_id exchange, const request_state &state, result_code code, int status,
+    void refuse(exchange_id exchange, request_state &state, const refusal &details);
+    void finish(exchange_id exchange, request_state &state, result_code code, int status,
                 std::optional<cut_cause> cut = std::nullopt);
     [[nodiscard]] milliseconds retryDelay(const request_state &state);
     void recordFailedAttempt(const request_state &state, std::string outcome, std::string next);
@@ -572,6 +605,8 @@
     std::map<exchange_id, request_state> m_requests;
     std::unordered_map<attempt_number, attempt_state> m_attempts;
     waiting_queue m_waiting;
+    /** Targets with an attempt of a move that they have not begun to answer; each gets one at a time. */
+    std::set<target_id> m_moveTargets;
     /** Requests in progress of each service. */
     std::map<service_id, std::size_t> m_requestCounts;
     std::size_t m_bufferedBytes = 0;
--- a/src/forward/forwarder-answers.cc
+++ b/src/forward/forwarder-answers.cc
@@ -8,13 +8,6 @@
 namespace figcleat::forward
 {
 
-namespace
-{
-
-constexpr int firstErrorStatus = 500;
-
-} // namespace
-
 attempt_stage forwarder::stageOf(const attempt_state &attempt, attempt_result result)
 {
     if (result == attempt_result::unreachable) {
@@ -26,13 +19,26 @@
     return attempt.firstBodyAt ? attempt_stage::writing : attempt_stage::head_only;
 }
 
+forwarder::ended_attempt forwarder::describeAttempt(const attempt_state &attempt, attempt_result result) const
+{
+    return { attempt.started.incarnation, stageOf(attempt, result), m_now - attempt.started.startedAt,
+             attempt.head ? attempt.head->targetAtFault : target_id {} };
+}
+
 void forwarder::endAttempt(request_state &state, attempt_result result)
 {
-    const auto found = m_attempts.find(std::exchange(state.currentAttempt, {}));
+    if (isMoving(state)) {
+        m_moveTargets.erase(state.lastTarget);
+    }
+    closeAttempt(state, std::exchange(state.currentAttempt, {}), result);
+}
+
+void forwarder::closeAttempt(request_state &state, attempt_number number, attempt_result result)
+{
+    const auto found = m_attempts.find(number);
     if (found != m_attempts.end()) {
         const auto &attempt = found->second;
-        state.lastAttempt = { attempt.started.incarnation, stageOf(attempt, result), m_now - attempt.started.startedAt,
-                              attempt.head ? attempt.head->targetAtFault : target_id {} };
+        state.lastAttempt = describeAttempt(attempt, result);
         m_pool.onEnded(attempt.started, result, attempt.readsPrompt, m_now);
         m_attempts.erase(found);
     }
@@ -41,8 +47,11 @@
 
 void forwarder::updateBufferedBytes(request_state &state)
 {
-    const auto attempt = m_attempts.find(state.currentAttempt);
-    std::size_t buffered = attempt == m_attempts.end() ? 0 : attempt->second.body.size();
+    std::size_t buffered = 0;
+    for (const attempt_number number : { state.currentAttempt, state.previousAttempt }) {
+        const auto attempt = m_attempts.find(number);
+        buffered += attempt == m_attempts.end() ? 0 : attempt->second.body.size();
+    }
     buffered += state.fallbackAnswer ? state.fallbackAnswer->body.size() : 0;
     buffered += state.events.partialBytes();
     m_bufferedBytes = m_bufferedBytes - state.bufferedBytes + buffered;
@@ -81,6 +90,9 @@
     if (event.head.load) {
         m_pool.onLoad(attempt.started.incarnation.target, *event.head.load, m_now);
     }
+    if (event.attempt == state.previousAttempt && !evaluatePreviousHead(exchange, state, event.head)) {
+        return;
+    }
     if (event.head.isCorrupt) {
         m_actions.emplace_back(cancel_attempt { event.attempt });
         state.executionCount += 1;
@@ -103,6 +115,9 @@
     }
     const bool isStream
         = state.matchedRoute->kind == route_kind::stream && event.head.isEventStream && isSuccess(event.head.status);
+    if (event.attempt == state.currentAttempt && !state.isStreaming && event.head.status < firstErrorStatus) {
+        completeMove(state);
+    }
     if (isStream && !state.isStreaming) {
         state.isStreaming = true;
         state.streamStatus = event.head.status;
@@ -114,9 +129,7 @@
         endAttempt(state, attempt_result::failed);
         retryOrFail(exchange, state, true, result_code::engine_failed);
         assignWaitingRequests();
-        return;
     }
-    state.hasLeftTarget = false;
 }
 
 void forwarder::handle(const answer_bytes &event)
@@ -132,12 +145,20 @@
     auto &state = m_requests.at(exchange);
     recordProgress(state, attempt);
     if (state.isStreaming) {
-        auto &pace = m_paceControllers[state.service];
-        if (std::exchange(attempt.readsPrompt, false)) {
-            m_pool.onPromptRead(attempt.started.incarnation.target);
-        } else {
-            pace.onPause(pause, state.matchedRoute->maxGap, m_now);
+        recordPause(state, attempt, pause);
+    }
+    if (event.attempt == state.previousAttempt) {
+        if (holdBack(state, attempt, event.bytes)) {
+            return;
+        }
+        cancelMove(exchange, state, "overtaken");
+        if (!m_requests.contains(exchange)) {
+            return;
         }
+    } else if (attempt.head && attempt.head->status < firstErrorStatus) {
+        completeMove(state);
+    }
+    if (state.isStreaming) {
         forwardEvents(exchange, state, event.bytes);
         return;
     }
@@ -151,6 +172,16 @@
     }
 }
 
+void forwarder::recordPause(const request_state &state, attempt_state &attempt, duration pause)
+{
+    auto &pace = m_paceControllers[state.service];
+    if (std::exchange(attempt.readsPrompt, false)) {
+        m_pool.onPromptRead(attempt.started.incarnation.target);
+    } else {
+        pace.onPause(pause, state.matchedRoute->maxGap, m_now);
+    }
+}
+
 void forwarder::forwardEvents(exchange_id exchange, request_state &state, std::string_view bytes)
 {
     std::string completeEvents = state.events.push(bytes);
@@ -180,6 +211,14 @@
     auto &attempt = found->second;
     const exchange_id exchange = attempt.exchange;
     auto &state = m_requests.at(exchange);
+    if (event.attempt == state.previousAttempt) {
+        cancelMove(exchange, state, "overtaken");
+        if (!m_requests.contains(exchange)) {
+            return;
+        }
+    } else if (attempt.head && attempt.head->status < firstErrorStatus) {
+        completeMove(state);
+    }
     state.executionCount += 1;
     if (state.isStreaming && state.events.hasPartialEvent()) {
         recordFailureEvidence(state, attempt);
@@ -225,15 +264,23 @@
     }
     const exchange_id exchange = found->second.exchange;
     auto &state = m_requests.at(exchange);
-    state.events.dropPartialEvent();
+    const bool isPrevious = event.attempt == state.previousAttempt;
+    if (isPrevious || !isMoving(state)) {
+        state.events.dropPartialEvent();
+    }
     state.executionCount += event.notSent ? 0 : 1;
     if (event.notSent) {
         m_quarantine.onTargetDown(found->second.started.incarnation, m_now);
     } else {
         recordFailureEvidence(state, found->second);
     }
-    endAttempt(state, event.notSent ? attempt_result::unreachable : attempt_result::failed);
-    retryOrFail(exchange, state, !event.notSent, result_code::target_lost);
+    const auto result = event.notSent ? attempt_result::unreachable : attempt_result::failed;
+    if (isPrevious) {
+        endPrevious(state, result, std::string(describe(result_code::target_lost).name));
+    } else {
+        endAttempt(state, result);
+        retryOrFail(exchange, state, !event.notSent, result_code::target_lost);
+    }
     assignWaitingRequests();
 }
 
--- a/src/forward/forwarder-limits.h
+++ b/src/forward/forwarder-limits.h
@@ -12,6 +12,7 @@
 inline constexpr milliseconds defaultRetryDelay { 1000 };
 inline constexpr int firstSuccessStatus = 200;
 inline constexpr int firstRedirectStatus = 300;
+inline constexpr int firstErrorStatus = 500;
 
 [[nodiscard]] inline bool isSuccess(int status)
 {
--- a/src/forward/forwarder-placement.cc
+++ b/src/forward/forwarder-placement.cc
@@ -92,7 +92,8 @@
     return true;
 }
 
-expected<directory_entry> forwarder::chooseTarget(request_state &state, const quarantine_verdict &verdict)
+expected<directory_entry> forwarder::chooseTarget(request_state &state, const quarantine_verdict &verdict,
+                                                  const std::set<target_id> &busy)
 {
     const auto limits = limitsFor(state);
     state.lastDrawAt = m_now;
@@ -102,13 +103,17 @@
     const auto confined = [&](const prompt_part_id &part) {
         return m_pool.chooseConfined(state.service, part, state.triedTargets, limits, m_now);
     };
+    const auto anyBut = [&](std::set<target_id> excluded) {
+        excluded.insert(busy.begin(), busy.end());
+        return m_pool.choose(state.service, excluded, limits, m_now);
+    };
     const auto any = [&] {
-        auto target = m_pool.choose(state.service, state.triedTargets, limits, m_now);
+        auto target = anyBut(state.triedTargets);
         if (!target && target.error().code == result_code::no_target && !state.triedTargets.empty()
             && isIdempotent(state)) {
             // No untried target is usable. One that failed earlier is better than none, so only the last one stays
             // excluded.
-            target = m_pool.choose(state.service, { state.lastTarget }, limits, m_now);
+            target = anyBut({ state.lastTarget });
         }
         return target;
     };
--- a/src/forward/forwarder-quarantine.cc
+++ b/src/forward/forwarder-quarantine.cc
@@ -131,6 +131,10 @@
         return;
     }
     // The target has not begun its answer, so closing the connection may save it.
+    if (isMoving(state)) {
+        cancelMove(exchange, state, std::string(describe(result_code::prompt_quarantined).name));
+        return;
+    }
     m_actions.emplace_back(cancel_attempt { state.currentAttempt });
     state.executionCount += 1;
     endAttempt(state, attempt_result::abandoned);
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -209,6 +209,9 @@
         if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
             checkDeadline(exchange, found->second);
         }
+        if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
+            checkHeldEvents(exchange, found->second);
+        }
         if (const auto found = m_requests.find(exchange); found != m_requests.end()) {
             checkStalledTarget(exchange, found->second);
         }
@@ -288,15 +291,19 @@
     return milliseconds(static_cast<std::int64_t>(delay(m_random)));
 }
 
-void forwarder::refuse(exchange_id exchange, const request_state &state, const refusal &details)
+void forwarder::refuse(exchange_id exchange, request_state &state, const refusal &details)
 {
     m_actions.emplace_back(refuse_request { exchange, details });
     finish(exchange, state, details.code, 0);
 }
 
-void forwarder::finish(exchange_id exchange, const request_state &state, result_code code, int status,
+void forwarder::finish(exchange_id exchange, request_state &state, result_code code, int status,
                        std::optional<cut_cause> cut)
 {
+    if (isMoving(state)) {
+        m_actions.emplace_back(cancel_attempt { state.previousAttempt });
+        closeAttempt(state, std::exchange(state.previousAttempt, {}), attempt_result::abandoned);
+    }
     request_finished ended;
     ended.id = state.request->id;
     ended.request = state.request;
