Do not take this node's own pause for silence of its targets

What callers would see: a front that was suspended, or got no processor time, for a second moves streams away from targets that wrote all the time.

Cause: silence was counted from the last byte that was read. After a pause of the front the first tick may come before the unread bytes of some targets, while others, whose bytes have been read, count as active.

Evidence: forwarder-test, "a target is not silent while this node stands still", failed before (one attempt more) and passes now; stalled-target and all other tests of the forwarder pass.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -492,7 +492,7 @@
     void handle(const target_probed &event);
     void handle(const quarantine_received &event);
     void handle(const forward_tick &event);
-    /** Reports that this node has done nothing since the last tick, if that is so. */
+    /** Reports that this node has done nothing since the last tick, if that is so, and notes when it went on. */
     void checkStall();
 
     /** Accepts the answer, or ends the attempt if the answer cannot be passed to the caller. */
@@ -600,6 +600,8 @@
     std::uint32_t m_nodes;
     time_point m_now {};
     std::optional<time_point> m_lastTickAt;
+    /** When this node went on after it had last stood still; what targets sent before may still be unread then. */
+    time_point m_resumedAt {};
     std::mt19937_64 m_random;
     attempt_number m_lastAttempt;
     std::map<exchange_id, request_state> m_requests;
--- a/src/forward/forwarder-moves.cc
+++ b/src/forward/forwarder-moves.cc
@@ -57,8 +57,8 @@
     }
     const bool isSlow = state.isStreaming && m_pool.isSlow(found->second.started.incarnation.target, m_now);
     const milliseconds limit = std::max(minSilence, state.matchedRoute->objective * silenceFactor);
-    const bool isSilent
-        = m_now - found->second.lastProgress >= limit && m_pool.countActive(state.service, activeWindow, m_now) >= 2;
+    const bool isSilent = m_now - std::max(found->second.lastProgress, m_resumedAt) >= limit
+        && m_pool.countActive(state.service, activeWindow, m_now) >= 2;
     if (!isSlow && !isSilent) {
         return;
     }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -185,6 +185,7 @@
     const time_point last = std::exchange(m_lastTickAt, m_now).value_or(m_now);
     if (m_now - last > maxTickGap) {
         m_actions.emplace_back(node_stalled { m_now - last });
+        m_resumedAt = m_now;
     }
 }
 
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -956,3 +956,24 @@
     f.advance(50ms);
     CHECK(countMoves() == 0);
 }
+
+TEST_CASE("a target is not silent while this node stands still", "[forward]")
+{
+    // Guards against streams that leave their targets because their own front was suspended or had no processor time.
+    fixture f;
+    std::vector<attempt_number> streams;
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        streams.push_back(startedIn(f.arrive(i, streamPath)));
+        (void)f.startStream(streams.back());
+        (void)f.step(answer_bytes { streams.back(), "id: 1\ndata: a\n\n" });
+    }
+    (void)f.step(forward_tick {});
+    f.advance(1s);
+    // The bytes of the other streams are read first.
+    for (std::size_t i = 1; i < streams.size(); ++i) {
+        (void)f.step(answer_bytes { streams[i], "id: 2\ndata: b\n\n" });
+    }
+    CHECK(find<start_attempt>(f.step(forward_tick {})) == nullptr);
+    (void)f.step(answer_bytes { streams.front(), "id: 2\ndata: b\n\n" });
+    CHECK(find<end_event_stream>(f.step(answer_ended { streams.front() })) != nullptr);
+}
