Count a planned stop from before a pause of the process

Cause: the phases of a stop were counted from the moment at which the loop noticed the signal. The platform counts its grace period from the signal.

Ruled out: reading the time of the signal, which the kernel doesn't keep; and looking at the last tick alone, since after a pause a tick may be handled before the signal.

Change: the signal may have come at any time since the last tick before the pause (a gap of more than 250 ms). Requests are accepted as if it had come first, and last answers come as if it had come last, but not before the last sixth of the grace period; event=stop tells late_ms.

Evidence: the stop with a late signal in front-stop-process-test failed before and passes; stop-schedule-test has the bounds for all grace periods and delays up to a ninth of them.

--- a/include/figcleat/daemon/front-node.h
+++ b/include/figcleat/daemon/front-node.h
@@ -60,6 +60,8 @@
     void onQuarantineUpdate(const envelope &received, const forward::quarantine_update &update);
     [[nodiscard]] forward::http_answer answerQuarantine(const http_request &request);
     void stopIfDone();
+    /** Returns how long ago a signal that is handled now may have come. */
+    [[nodiscard]] duration signalDelay() const;
     void step(const forward::forward_event &event);
 
     void carryOut(forward::start_attempt &action);
@@ -97,6 +99,9 @@
     std::optional<time_point> m_drainStarted;
     bool m_heardCoordinator = true;
     time_point m_lastPollAt {};
+    time_point m_tickAt {};
+    /** The tick before `m_tickAt`. */
+    time_point m_tickBeforeAt {};
     forward::load_exchange m_loads;
     forward::stop_schedule m_stopSchedule;
     front_metrics m_counts;
--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -367,6 +367,8 @@
 public:
     /** Longest body of an answer that is not streamed, in bytes. */
     static constexpr std::size_t maxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
+    /** After a longer gap between two ticks this node has stood still; ticks are due each 25 ms. */
+    static constexpr duration maxTickGap = std::chrono::milliseconds(250);
 
     explicit forwarder(forwarder_settings settings);
 
--- a/include/figcleat/forward/stop-schedule.h
+++ b/include/figcleat/forward/stop-schedule.h
@@ -5,7 +5,7 @@
 namespace figcleat::forward
 {
 
-/** Phases of a planned stop of a front, as times since its signal; each ends no later than the next. */
+/** Phases of a planned stop of a front, as times since it noticed its signal; each ends no later than the next. */
 struct stop_schedule
 {
     /** From then on unused connections are closed: the platform has noticed that this front is not ready, so that their
@@ -24,7 +24,10 @@
     duration end {};
 };
 
-/** @param grace from the signal until the platform kills the process */
-[[nodiscard]] stop_schedule stopScheduleFor(duration grace);
+/**
+ * @param grace from the signal until the platform kills the process
+ * @param late how long the signal may have waited for this process, which stood still
+ */
+[[nodiscard]] stop_schedule stopScheduleFor(duration grace, duration late = {});
 
 } // namespace figcleat::forward
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -242,6 +242,7 @@
         shareLoad();
         shareQuarantine();
     });
+    m_tickAt = m_tickBeforeAt = m_time->now();
     m_loop->every(tickPeriod, [this] { tick(); });
     m_loop->every(pollPeriod, [this] { poll(); });
     poll();
@@ -275,13 +276,25 @@
     if (m_drainStarted) {
         return;
     }
-    logger()->info("event=stop requests={}", m_forwarder.requestsInProgress());
+    const duration late = signalDelay();
+    logger()->info("event=stop requests={} late_ms={}", m_forwarder.requestsInProgress(), wholeMs(late));
     const time_point start = m_time->now();
     m_drainStarted = start;
+    m_stopSchedule = forward::stopScheduleFor(m_settings.bounds.grace, late);
     m_callers->closeAfterAnswers();
     m_forwarder.stop(start + m_stopSchedule.acceptAll, start + m_stopSchedule.lastAnswer, start);
 }
 
+duration front_node::signalDelay() const
+{
+    const time_point now = m_time->now();
+    if (now - m_tickAt > forward::forwarder::maxTickGap) {
+        return now - m_tickAt;
+    }
+    // After a pause a tick may be handled before the signal.
+    return m_tickAt - m_tickBeforeAt > forward::forwarder::maxTickGap ? now - m_tickBeforeAt : duration {};
+}
+
 bool front_node::isReady() const
 {
     return !m_drainStarted && m_forwarder.hasRoutes() && !m_directory.entries().empty();
@@ -551,6 +564,7 @@
 
 void front_node::tick()
 {
+    m_tickBeforeAt = std::exchange(m_tickAt, m_time->now());
     m_messenger->tick();
     step(forward::forward_tick {});
     shareLoad();
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -20,8 +20,6 @@
 constexpr int retryDelayDivisor = 3;
 /** Shortest retry delay as a share of the longest: a lack of capacity or of targets lasts a while. */
 constexpr double minRetryDelayShare = 0.6;
-/** Ten ticks: after a longer gap between two of them this node has stood still. */
-constexpr duration maxTickGap = std::chrono::milliseconds(250);
 
 } // namespace
 
--- a/src/forward/stop-schedule.cc
+++ b/src/forward/stop-schedule.cc
@@ -33,14 +33,22 @@
 /** A process that has not ended by itself by then is killed in mid-answer. */
 constexpr phase_length endMargin { milliseconds(500), 1, 12 };
 
+/** A cut is excused from then on, counted from the signal. */
+duration lastSixthOf(duration grace)
+{
+    return grace - grace / 6;
+}
+
 } // namespace
 
-stop_schedule stopScheduleFor(duration grace)
+stop_schedule stopScheduleFor(duration grace, duration late)
 {
-    return { .closeUnused = unusedConnections.of(grace),
-             .acceptAll = allRequests.of(grace),
-             .lastAnswer = grace - lastAnswerMargin.of(grace),
-             .end = grace - endMargin.of(grace) };
+    // The signal came at most `late` ago: requests are accepted as if it came first, and cut as if it came last.
+    const duration lastAnswer = std::max(grace - late - lastAnswerMargin.of(grace), lastSixthOf(grace));
+    return { .closeUnused = std::max(duration {}, unusedConnections.of(grace) - late),
+             .acceptAll = std::max(duration {}, allRequests.of(grace) - late),
+             .lastAnswer = lastAnswer,
+             .end = lastAnswer + lastAnswerMargin.of(grace) - endMargin.of(grace) };
 }
 
 } // namespace figcleat::forward
--- a/test/front-stop-process-test.py
+++ b/test/front-stop-process-test.py
@@ -133,8 +133,8 @@
 class Stop:
     """One front, the clients that use it before and in its planned stop, and their calls."""
 
-    def __init__(self, ip, grace):
-        self.ip, self.grace, self.calls, self.tasks = ip, grace, [], []
+    def __init__(self, ip, grace, late=0.0):
+        self.ip, self.grace, self.late, self.calls, self.tasks = ip, grace, late, [], []
         self.started = None
 
     def call(self, kind, path):
@@ -180,8 +180,12 @@
                 await asyncio.sleep(0.02)
         uploads = [asyncio.create_task(self.use_upload(*one)) for one in self.uploads]
         await asyncio.sleep(0.2)
+        if self.late:
+            process.send_signal(signal.SIGSTOP)
         self.started = time.monotonic()
         process.send_signal(signal.SIGTERM)
+        if self.late:
+            self.tasks.append(asyncio.create_task(self.resume(process)))
         for number, connection in enumerate(self.kept):
             part = 0.02 + 0.43 * number / len(self.kept)
             path = ("/draft/4800/1", "/note/600/1", "/look/50/1")[number % 3] if number % 2 else "/draft/4800/2"
@@ -198,6 +202,10 @@
             with contextlib.suppress(*ERRORS):
                 await asyncio.wait_for(task, DEADLINE_MS / 1000 + 5)
 
+    async def resume(self, process):
+        await asyncio.sleep(self.late)
+        process.send_signal(signal.SIGCONT)
+
     async def use_busy(self, connection, call):
         await self.send(call, connection)
         for path in ("/draft/4800/4", "/look/20/4"):
@@ -333,8 +341,8 @@
     def test_stops_in_any_grace_period(self):
         """Guards against requests that a stopping front passes on and cuts, or reads and never answers."""
         stops = [Stop("127.0.0.22", 8), Stop("127.0.0.23", 8), Stop("127.0.0.24", 2), Stop("127.0.0.25", 5),
-                 Stop("127.0.0.26", 20)]
-        self.check(stops, asyncio.run(self.play(stops, (0, 20, 20, 20, 20))))
+                 Stop("127.0.0.26", 20), Stop("127.0.0.29", 8, late=1.0)]
+        self.check(stops, asyncio.run(self.play(stops, (0, 20, 20, 20, 20, 20))))
 
     def test_stop_beside_a_configuration_and_a_hangup(self):
         """Guards against a configuration or new settings that make a stopping front forget what it knows."""
--- a/test/stop-schedule-test.cc
+++ b/test/stop-schedule-test.cc
@@ -29,3 +29,22 @@
     CHECK(stopScheduleFor(1min).closeUnused > 2s);
     CHECK(stopScheduleFor(1min).acceptAll > stopScheduleFor(1min).closeUnused);
 }
+
+TEST_CASE("a signal that is handled late leaves no request for the end of the stop", "[forward]")
+{
+    // Guards against requests that are passed on because the stop is counted from the end of a pause of the process.
+    for (duration grace = 1ms; grace <= 2min; grace += grace < 100ms ? 1ms : 37ms) {
+        for (int part = 0; part <= 9; ++part) {
+            const duration late = grace * part / 81;
+            INFO(grace.count() << " late " << late.count());
+            const auto schedule = stopScheduleFor(grace, late);
+            CHECK(schedule.closeUnused <= schedule.acceptAll);
+            CHECK((schedule.acceptAll == duration {} || late + schedule.acceptAll < 3s));
+            CHECK(schedule.acceptAll <= schedule.lastAnswer);
+            CHECK(6 * schedule.lastAnswer >= 5 * grace);
+            CHECK(schedule.lastAnswer <= schedule.end);
+            CHECK(late + schedule.end <= grace);
+        }
+    }
+    CHECK(stopScheduleFor(8s, 4s).acceptAll == duration {});
+}
