--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -563,7 +563,7 @@
     [[nodiscard]] bool evaluatePreviousHead(exchange_id exchange, request_state &state, const answer_head &head);
     /** Handles the end of the attempt that the move has left. The current one goes on. */
     void endPrevious(request_state &state, attempt_result result, std::string reason);
-    /** True if bytes of the previous attempt are kept back while the move has not been decided. */
+    /** Keeps bytes of a slow target for later; false if the move is not from a slow one or they are too many. */
     [[nodiscard]] bool holdBack(request_state &state, attempt_state &previous, std::string_view bytes);
     [[nodiscard]] static bool isMoving(const request_state &state);
     /** True if a further request would probably reach its `waitUntil` before a target has capacity for it. */
