--- a/test/stops.py
+++ b/test/stops.py
@@ -240,6 +240,11 @@
             process.wait()
         self.start(name)
 
+    async def pause_now_and_then(self):
+        while True:
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            self.pause_groups()
+
     def pause_groups(self):
         chosen = self.groups if self.random.random() < 0.2 else [self.random.choice(self.groups)]
         for group in chosen:
@@ -295,7 +300,8 @@
         callers = [asyncio.create_task(self.caller({})) for _ in range(int(self.given.fill * self.slots
                                                                            * len(self.targets)) + 1)]
         await asyncio.sleep(3.0)
-        tasks += [asyncio.create_task(one) for one in (self.freeze_leader(), self.change(), self.watch_loop())]
+        tasks += [asyncio.create_task(one) for one in (self.freeze_leader(), self.pause_now_and_then(),
+                                                    self.change(), self.watch_loop())]
         names = self.random.sample(tuple(self.fronts), min(len(self.fronts) - 1, self.given.stops))
         await asyncio.gather(*(self.stop_fronts(names[i::3]) for i in range(3)))
         self.is_ending = True
