Log the id of a stream that is cut because its caller is slow

event=caller_too_slow named the connection only, so that the cut couldn't be told from a caller that left.

--- a/include/figcleat/forward/forwarder.h
+++ b/include/figcleat/forward/forwarder.h
@@ -101,6 +101,8 @@
 struct caller_disconnected
 {
     exchange_id exchange;
+    /** This node has closed the connection because the caller does not take its answer. */
+    bool isTooSlow = false;
 };
 
 struct answer_started
@@ -219,6 +221,8 @@
     quarantine,
     /** An event or all buffered answers together were too long. */
     buffer_full,
+    /** The caller does not take the answer. */
+    slow_caller,
 };
 
 [[nodiscard]] std::string_view toString(cut_cause cause);
--- a/src/daemon/front-node.cc
+++ b/src/daemon/front-node.cc
@@ -656,9 +656,8 @@
 void front_node::carryOut(const forward::send_events &action)
 {
     if (!m_callers->sendPiece(action.exchange, action.bytes)) {
-        logger()->warn("event=caller_too_slow exchange={}", action.exchange.value);
         m_callers->breakStream(action.exchange);
-        step(forward::caller_disconnected { action.exchange });
+        step(forward::caller_disconnected { action.exchange, true });
     }
 }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -53,6 +53,8 @@
         return "quarantine";
     case cut_cause::buffer_full:
         return "buffer_full";
+    case cut_cause::slow_caller:
+        return "slow_caller";
     }
     return "";
 }
@@ -158,7 +160,8 @@
         m_actions.emplace_back(cancel_attempt { state.currentAttempt });
         endAttempt(state, attempt_result::abandoned);
     }
-    finish(event.exchange, state, result_code::caller_gone, state.streamStatus);
+    finish(event.exchange, state, result_code::caller_gone, state.streamStatus,
+           event.isTooSlow ? std::optional(cut_cause::slow_caller) : std::nullopt);
     assignWaitingRequests();
 }
 
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -693,6 +693,12 @@
         REQUIRE(find<request_finished>(all) != nullptr);
         CHECK(find<request_finished>(all)->cut == cut_cause::planned_stop);
     }
+    SECTION("slow caller")
+    {
+        const auto all = f.step(caller_disconnected { { 1 }, true });
+        REQUIRE(find<request_finished>(all) != nullptr);
+        CHECK(find<request_finished>(all)->cut == cut_cause::slow_caller);
+    }
     SECTION("lost target")
     {
         const auto second = startedIn(f.step(attempt_failed { attempt, false }));
