--- a/src/daemon/front-metrics.cc
+++ b/src/daemon/front-metrics.cc
@@ -69,9 +69,13 @@
                                  forward::toString(what.stage)),
                      count);
     }
-    for (const auto &[cause, count] : m_cuts) {
+    using forward::cut_cause;
+    for (const auto cause :
+         { cut_cause::deadline, cut_cause::planned_stop, cut_cause::left_target, cut_cause::target_lost,
+           cut_cause::quarantine, cut_cause::buffer_full, cut_cause::slow_caller }) {
+        const auto count = m_cuts.find(cause);
         page.counter("figcleat_streams_cut_total", "Streams that this front broke towards their callers.",
-                     fmt::format("cause=\"{}\"", forward::toString(cause)), count);
+                     fmt::format("cause=\"{}\"", forward::toString(cause)), count == m_cuts.end() ? 0 : count->second);
     }
     page.counter("figcleat_stalls_total", "Times that this process stood still.", {}, m_stalls);
     const auto stalledMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_stalledTime).count();
